Hold three controllers to every rule in a simulated world; formats and settings tests

The world found four faults, each mended with the guard commented: an abort answered 'queued' when the job was accepted between two reads; a notice's evacuation judged by the list of the report before; tasks on machines not described yet left out of 'apart'; a job whose tasks failed on the only allowed machine never retried.

--- a/src/crosscleat/core/fleet.py
+++ b/src/crosscleat/core/fleet.py
@@ -129,6 +129,7 @@
                         if free[m.id][0] + 1e-9 >= spec.cpus
                         and free[m.id][1] + 1e-9 >= spec.memory_gb
                         and m.allowed(spec)
+                        and m.id not in job.failed_on
                     ),
                     None,
                 )
--- a/src/crosscleat/core/front.py
+++ b/src/crosscleat/core/front.py
@@ -93,8 +93,14 @@
             elif found.item is not None:
                 self._answer(request, 200, self._live_body(found.item))
             else:
-                self._out.add(Read(ended_key(ref), ended))
+                self._look_ended(request, ref, unknown)
 
+        if ref in self._ended:
+            self._answer_ended(request, ref)
+        else:
+            self._out.add(Read(live_key(ref), live))
+
+    def _look_ended(self, request: int, ref: JobRef, unknown: int) -> None:
         def ended(found: Found | None) -> None:
             if found is None:
                 self._answer(request, 503)
@@ -104,10 +110,7 @@
                 self._remember(ref, found.item.value)
                 self._answer_ended(request, ref)
 
-        if ref in self._ended:
-            self._answer_ended(request, ref)
-        else:
-            self._out.add(Read(live_key(ref), live))
+        self._out.add(Read(ended_key(ref), ended))
 
     def _live_body(self, item: Item) -> Record:
         ref = item.value["spec"][0]
@@ -142,7 +145,8 @@
             if found is None:
                 self._answer(request, 503)
             elif found.item is None:
-                self._look(request, ref, unknown=404)
+                # Not `_look`: the job may be accepted just now, and "queued" is no answer here.
+                self._look_ended(request, ref, unknown=404)
             elif found.item.value["aborted"]:
                 self._answer(request, 200, {"ref": ref, "status": "aborted"})
             else:
--- a/src/crosscleat/core/leader.py
+++ b/src/crosscleat/core/leader.py
@@ -60,9 +60,9 @@
     work_key,
 )
 from .model import Deployment, MachineType
-from .placements import AttemptKey, Hold, Ledger, Machine
+from .placements import NOWHERE, AttemptKey, Hold, Ledger, Machine
 from .reports import ListedMachine, Report, TaskReport
-from .rounds import Round, fetch_time, within
+from .rounds import Round, fetch_time, troubled, within
 from .scoring import RunTimes, Scorer
 
 DROP = "drop/"
@@ -183,7 +183,7 @@
 
     def _shell(self, machine_id: MachineId, now: Seconds) -> Machine:
         """A machine that a record names and that nobody has described yet."""
-        machine = Machine(machine_id, UNKNOWN_TYPE, Zone(""), False)
+        machine = Machine(machine_id, UNKNOWN_TYPE, NOWHERE, False)
         self._enter(machine, now)
         return machine
 
@@ -314,9 +314,6 @@
                 self._gone(machine, hold, now, None)
             machine.exited.clear()
             machine.strays.clear()
-        if report.notice_s is not None and machine.recall_at is None:
-            machine.recall_at = Seconds(now + report.notice_s)
-            self._evacuate(machine, report.notice_s, now)
         listed = {(task.task, task.attempt): task for task in report.tasks}
         machine.exited = {
             key: task.cause or "" for key, task in listed.items() if task.state == reports.EXITED
@@ -328,6 +325,10 @@
         }
         for key, hold in list(machine.holds.items()):
             self._compare(machine, hold, listed.get(key), now)
+        # Last: what is withdrawn and not listed counts as gone, so the list must be this report's.
+        if report.notice_s is not None and machine.recall_at is None:
+            machine.recall_at = Seconds(now + report.notice_s)
+            self._evacuate(machine, report.notice_s, now)
 
     def _compare(self, machine: Machine, hold: Hold, task: TaskReport | None, now: Seconds) -> None:
         if task is None:
@@ -350,7 +351,7 @@
         if cause == "done":
             if hold.running_since is not None:
                 self.run_times.learn(hold.spec, now - hold.running_since)
-            machine.errors.discard(hold.task.job)
+            machine.errors.clear()
         self._gone(machine, hold, now, cause)
 
     def _gone(self, machine: Machine, hold: Hold, now: Seconds, cause: str | None) -> None:
@@ -374,7 +375,7 @@
             job.failed_on.add(machine.id)
             machine.errors.add(job.ref)
             pause = min(60.0, 0.5 * 2.0**failures) if failures > 1 or not job.succeeded else 0.0
-            if len(machine.errors) >= SUSPECT_JOBS and not machine.suspect:
+            if not machine.suspect and self._blamed(machine):
                 machine.suspect = True
                 self.out.note("info", f"machine {machine.id}: several jobs fail on it, draining")
         elif cause == "no_room":
@@ -382,6 +383,11 @@
             pause = 0.3
         job.requeue(index, Seconds(now + pause))
 
+    def _blamed(self, machine: Machine) -> bool:
+        """Whether several jobs failed on it, leaving out those that fail wherever they are."""
+        jobs = (self.jobs.get(JobRef(ref)) for ref in machine.errors)
+        return sum(1 for job in jobs if job and not troubled(job)) >= SUSPECT_JOBS
+
     def _orders(self, machine: Machine, now: Seconds, answering: int | None) -> list[Order]:
         """What the worker is to do; `answering` is the tally of the check-in answered."""
         orders: list[Order] = []
--- a/src/crosscleat/core/placements.py
+++ b/src/crosscleat/core/placements.py
@@ -32,6 +32,9 @@
 
 AttemptKey = tuple[TaskId, Attempt]
 
+NOWHERE = Zone("")
+"""The zone of a machine that only a record has named so far."""
+
 
 @dataclass(slots=True)
 class Hold:
@@ -168,7 +171,12 @@
         zones = self.job_zones.get(job.ref, {})
         if job.one_zone and any(other != zone for other in zones):
             return False
-        return not job.spread or zones.get(zone, 0) < job.per_zone()
+        return not job.spread or self.in_zone(job, zone) < job.per_zone()
+
+    def in_zone(self, job: JobSpec, zone: Zone) -> int:
+        """The job's tasks that may be in the zone: also those on machines not yet described."""
+        zones = self.job_zones.get(job.ref, {})
+        return zones.get(zone, 0) + zones.get(NOWHERE, 0)
 
     def before_session(self, machine: Machine, session: Session) -> list[Hold]:
         """The holds that a report of this session proves gone."""
--- a/src/crosscleat/core/rounds.py
+++ b/src/crosscleat/core/rounds.py
@@ -169,7 +169,12 @@
         return self._zone_admits(job, room.machine)
 
     def _all_failed(self, job: Job) -> bool:
-        return all(room.machine.id in job.failed_on for room in self._rooms)
+        """It failed on every machine that it could be on: then any of them may try again."""
+        return all(
+            room.machine.id in job.failed_on
+            for room in self._rooms
+            if room.machine.allowed(job.spec) and room.machine.type.holds(job.spec)
+        )
 
     def _zone_admits(self, job: Job, machine: Machine) -> bool:
         spec = job.spec
@@ -181,7 +186,7 @@
         if spec.one_zone and any(zone != machine.zone for zone in mine):
             return False
         if spec.spread:
-            before = self._ledger.job_zones.get(job.ref, {}).get(machine.zone, 0)
+            before = self._ledger.in_zone(spec, machine.zone)
             return before + mine.get(machine.zone, 0) < spec.per_zone()
         return True
 
--- /dev/null
+++ b/tests/test_formats.py
@@ -0,0 +1,212 @@
+"""Messages as they come from outside: well-formed, with unknown fields, and malformed."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from crosscleat.core import reports
+from crosscleat.core.effects import ClearOrder, Commit, Order, Put, Remove, StartOrder, StopOrder
+from crosscleat.core.ids import JobRef, LeaseId, Session, TaskId, Token, Version, WallTime
+from crosscleat.core.jobs import live_record, spec_of
+from crosscleat.core.model import JobSpec
+from crosscleat.wire import cloud, peers, state, users, workers
+
+settings.register_profile("ci", derandomize=True, deadline=None)
+settings.load_profile("ci")
+
+amounts = st.floats(0.0, 1e6, allow_nan=False)
+names = st.text(st.characters(codec="ascii", categories=("L", "N")), min_size=1, max_size=12)
+refs = names.map(lambda name: f"job-{name}")
+plain = st.recursive(
+    st.none() | st.booleans() | st.integers(0, 2**63) | st.floats(allow_nan=False) | st.text(),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(), inner, max_size=3),
+    max_leaves=8,
+)
+works = st.fixed_dictionaries(
+    {
+        "ref": refs,
+        "jobline": names,
+        "crew": names,
+        "shape": st.just("array"),
+        "urgency": st.sampled_from(("prod", "urgent", "standard", "low")),
+        "picks": st.integers(1, 100_000),
+        "cores": amounts,
+        "gpus": amounts,
+        "memory_gb": amounts,
+        "kit": names,
+        "image_gb": amounts,
+        "together": st.booleans(),
+        "apart": st.booleans(),
+        "loaners": st.booleans(),
+        "expect_s": amounts,
+        "stash_every_s": amounts,
+        "stash_s": amounts,
+    },
+    optional={
+        "rigs": st.none() | st.lists(names, max_size=3),
+        "yard": st.none() | names,
+        "due_s": st.none() | amounts,
+    },
+)
+
+
+def pack(value: Any) -> bytes:
+    return msgspec.msgpack.encode(value)
+
+
+@given(works, st.dictionaries(names.map(lambda n: f"x-{n}"), plain, max_size=2))
+def test_a_job_is_read_whatever_else_its_body_holds(work: dict[str, Any], more: Any) -> None:
+    spec = users.parse_work(pack({**more, **work}))
+    assert isinstance(spec, JobSpec)
+    assert (spec.ref, spec.tasks, spec.cpus) == (work["ref"], work["picks"], work["cores"])
+    assert spec.deadline_s == work.get("due_s")
+
+
+@given(works)
+def test_a_job_survives_the_store(work: dict[str, Any]) -> None:
+    spec = users.parse_work(pack(work))
+    assert isinstance(spec, JobSpec)
+    record = live_record(spec, WallTime(12.5), aborted=False)
+    assert spec_of(msgspec.msgpack.decode(pack(record))) == spec
+
+
+@given(works, st.data())
+def test_a_field_that_is_missing_or_makes_no_sense_is_malformed(
+    work: dict[str, Any], data: st.DataObject
+) -> None:
+    required = sorted(set(work) - {"rigs", "yard", "due_s"})
+    name = data.draw(st.sampled_from(required))
+    bad = dict(work)
+    if data.draw(st.booleans()):
+        del bad[name]
+    elif isinstance(work[name], bool):
+        bad[name] = data.draw(st.sampled_from((None, 1, "yes")))
+    elif isinstance(work[name], str):
+        bad[name] = data.draw(st.sampled_from((None, 7, ["array"])))
+    else:
+        bad[name] = data.draw(st.sampled_from((None, "4", -1, math.inf, math.nan, -0.5)))
+    parsed = users.parse_work(pack(bad))
+    assert parsed == (None if name == "ref" else JobRef(work["ref"]))
+
+
+@given(st.binary(max_size=200) | plain.map(pack))
+def test_no_body_makes_the_parsers_fail(body: bytes) -> None:
+    assert not isinstance(users.parse_work(body), JobSpec)
+    assert workers.parse_check_in(body) is None
+    for decoder in (state.pair, state.page, state.changes, cloud.boxes, cloud.rigs):
+        try:
+            decoder.decode(body)
+        except msgspec.DecodeError:
+            continue
+
+
+def test_the_size_limit_counts_json() -> None:
+    work = {
+        "ref": "job-1", "jobline": "a", "crew": "t", "shape": "array", "urgency": "low",
+        "picks": 1, "cores": 1.0, "gpus": 0.0, "memory_gb": 1.0, "kit": "i", "image_gb": 0.0,
+        "together": False, "apart": False, "loaners": False, "expect_s": 1.0,
+        "stash_every_s": 0.0, "stash_s": 0.0,
+    }  # fmt: skip
+    assert isinstance(users.parse_work(pack(work)), JobSpec)
+    # 20,000 zeros take 20 kB packed and 40 kB as JSON; 40,000 take 80 kB.
+    assert isinstance(users.parse_work(pack({**work, "x": [0] * 20_000})), JobSpec)
+    assert users.parse_work(pack({**work, "x": [0] * 40_000})) == "job-1"
+
+
+@pytest.mark.parametrize("ref", ["", "job-", "task-1", "job-a/b", "job-ü", "job-a b"])
+def test_other_names_are_no_jobs(ref: str) -> None:
+    assert TaskId.parse(f"{ref}/3") is None
+
+
+@given(refs, st.integers(0, 99_999))
+def test_a_task_is_named_after_its_job(ref: str, number: int) -> None:
+    task = TaskId(JobRef(ref), number)
+    assert TaskId.parse(str(task)) == task
+
+
+@given(
+    st.lists(
+        st.tuples(refs, st.integers(0, 99), st.integers(1, 9), st.sampled_from(("running", "new"))),
+        max_size=4,
+    ),
+    st.integers(1, 2**60),
+)
+def test_a_report_is_read_with_states_unknown_to_us(tasks: Any, tally: int) -> None:
+    body = {
+        "box": "m-1", "addr": "10.1.0.1:9000", "rig": "r", "yard": "a", "loaners": True,
+        "shift": 2, "tally": tally, "baton": 7, "weather": "fine",
+        "picks": [{"pick": f"{r}/{n}", "try": t, "status": s} for r, n, t, s in tasks],
+    }  # fmt: skip
+    report = workers.parse_check_in(pack(body))
+    assert report is not None
+    assert report.seen == (2, tally)
+    assert [str(t.task) for t in report.tasks] == [f"{r}/{n}" for r, n, _, _ in tasks]
+    assert all(t.state in (reports.RUNNING, "new") for t in report.tasks)
+
+
+def test_orders_are_written_in_the_protocols_words() -> None:
+    orders: tuple[Order, ...] = (
+        StartOrder("job-1/0", 2),
+        StopOrder("job-1/1", 1, 10.0),
+        ClearOrder("job-1/2", 1),
+    )
+    assert msgspec.msgpack.decode(workers.direct(Token(41), Session(1), orders)) == {
+        "baton": 41,
+        "shift": 1,
+        "orders": [
+            {"verb": "start", "pick": "job-1/0", "try": 2},
+            {"verb": "stop", "pick": "job-1/1", "try": 1, "wind_down_s": 10.0},
+            {"verb": "clear", "pick": "job-1/2", "try": 1},
+        ],
+    }
+
+
+def test_transactions_are_written_in_the_protocols_words() -> None:
+    commit = Commit(
+        (("a/b", Version(0)),),
+        (Put("a/b", {"n": 1}, LeaseId(7)), Put("d", 2), Remove("c/d")),
+        lambda _: None,
+    )
+    assert msgspec.msgpack.decode(state.transaction([commit])) == {
+        "if": [{"path": "a/b", "stamp": 0}],
+        "writes": [
+            {"set": "a/b", "data": {"n": 1}, "permit": 7},
+            {"set": "d", "data": 2},
+            {"delete": "c/d"},
+        ],
+    }
+
+
+@given(
+    st.one_of(
+        st.builds(peers.Hello, st.text()),
+        st.builds(peers.Ping),
+        st.builds(peers.Relay, st.integers(0, 2**60), st.binary(max_size=50)),
+        st.builds(peers.Relayed, st.integers(0, 2**60), st.integers(100, 599), st.binary()),
+        st.builds(
+            peers.Counts,
+            st.dictionaries(refs, st.tuples(st.integers(0, 9), st.integers(0, 9)), max_size=3),
+        ),
+    )
+)
+def test_peer_messages_survive_the_wire(message: peers.Message) -> None:
+    framed = peers.frame(message)
+    assert int.from_bytes(framed[:4], "big") == len(framed) - 4
+    assert peers.parse(framed[4:]) == message
+
+
+@given(st.binary(max_size=60) | plain.map(pack))
+def test_no_peer_message_can_do_more_than_be_refused(body: bytes) -> None:
+    try:
+        message = peers.parse(body)
+    except msgspec.DecodeError:
+        return
+    assert isinstance(
+        message, peers.Hello | peers.Ping | peers.Relay | peers.Relayed | peers.Counts
+    )
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,184 @@
+"""Three controllers in a world that fails, with crashes, cuts and late messages drawn at random."""
+
+from __future__ import annotations
+
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
+
+from crosscleat.core.ids import Team, Zone
+from crosscleat.core.model import Priority
+
+from .world import MEMBERS, REGION, ZONES, World, job
+
+members = st.sampled_from(MEMBERS)
+
+
+class Rules(RuleBasedStateMachine):
+    """Every rule is checked by the world itself, whenever it could break."""
+
+    @initialize(seed=st.integers(0, 2**32 - 1))
+    def begin(self, seed: int) -> None:
+        self.world = World(seed)
+        self.jobs: list[str] = []
+        self.world.clock.advance(4.0)
+
+    @rule(seconds=st.sampled_from((0.3, 1.0, 4.0, 12.0)))
+    def wait(self, seconds: float) -> None:
+        self.world.clock.advance(seconds)
+
+    @rule(
+        tasks=st.integers(1, 6),
+        team=st.sampled_from(("red", "blue")),
+        priority=st.sampled_from(Priority),
+        place=st.sampled_from(("any", "one_zone", "spread", "zone", "ordinary")),
+        kind=st.sampled_from(("plain", "plain", "plain", "broken")),
+    )
+    def submit(self, tasks: int, team: str, priority: Priority, place: str, kind: str) -> None:
+        ref = f"job-{len(self.jobs):06d}"
+        self.jobs.append(ref)
+        self.world.submit(
+            job(
+                ref,
+                tasks=tasks,
+                team=Team(team),
+                priority=priority,
+                job_class=kind,
+                one_zone=place == "one_zone",
+                spread=place == "spread",
+                zone=Zone(ZONES[0]) if place == "zone" else None,
+                spot=place != "ordinary",
+            )
+        )
+        self.world.clock.advance(0.4)
+
+    @rule(which=st.integers(0, 50))
+    def poll(self, which: int) -> None:
+        self.world.poll(self.jobs[which % len(self.jobs)] if self.jobs else "job-nobody")
+        self.world.poll("job-unknown")
+        self.world.clock.advance(0.2)
+
+    @rule(which=st.integers(0, 50))
+    def cancel(self, which: int) -> None:
+        if self.jobs:
+            self.world.cancel(self.jobs[which % len(self.jobs)])
+            self.world.clock.advance(0.4)
+
+    @rule(member=members, back_s=st.sampled_from((0.2, 5.0)))
+    def crash(self, member: str, back_s: float) -> None:
+        self.world.crash(member, back_s)
+
+    @rule(back_s=st.sampled_from((0.2, 3.0)))
+    def crash_all(self, back_s: float) -> None:
+        for member in MEMBERS:
+            self.world.crash(member, back_s)
+
+    @rule(
+        member=members,
+        mode=st.sampled_from(("hold", "reset")),
+        what=st.sampled_from(("workers", "store", "peers", "all")),
+    )
+    def cut(self, member: str, mode: str, what: str) -> None:
+        network = self.world.network
+        if what in ("workers", "all"):
+            for worker in self.world.workers:
+                network.cut(member, worker, mode)
+        if what in ("store", "all"):
+            network.cut(member, REGION, mode)
+        if what in ("peers", "all"):
+            for other in MEMBERS:
+                if other != member:
+                    network.cut(member, other, mode)
+
+    @rule(which=st.integers(0, 30), mode=st.sampled_from(("hold", "reset")))
+    def cut_machine(self, which: int, mode: str) -> None:
+        names = sorted(self.world.workers)
+        if names:
+            for member in MEMBERS:
+                self.world.network.cut(names[which % len(names)], member, mode)
+
+    @rule()
+    def heal(self) -> None:
+        self.world.network.heal()
+
+    @rule(seconds=st.sampled_from((2.0, 15.0, 40.0)))
+    def outage(self, seconds: float) -> None:
+        self.world.store.outage(seconds)
+
+    @rule(member=members, seconds=st.sampled_from((3.0, 20.0)))
+    def refuse(self, member: str, seconds: float) -> None:
+        self.world.store.refuses[member] = self.world.clock.now + seconds
+
+    @rule(which=st.integers(0, 30), seconds=st.sampled_from((3.0, 8.0, 25.0)))
+    def hang(self, which: int, seconds: float) -> None:
+        names = sorted(self.world.workers)
+        if names:
+            worker = self.world.workers[names[which % len(names)]]
+            worker.hung_until = self.world.clock.now + seconds
+
+    @rule(which=st.integers(0, 30))
+    def die(self, which: int) -> None:
+        names = sorted(self.world.workers)
+        if names:
+            worker = self.world.workers[names[which % len(names)]]
+            worker.gone = True
+            worker.tasks.clear()
+
+    @rule(which=st.integers(0, 30))
+    def take_back(self, which: int) -> None:
+        names = [n for n, w in sorted(self.world.workers.items()) if w.spot]
+        if names:
+            worker = self.world.workers[names[which % len(names)]]
+            worker.notice_until = self.world.clock.now + 6.0
+
+    @rule(chance=st.sampled_from((0.0, 0.1, 0.4)))
+    def flaky(self, chance: float) -> None:
+        self.world.flaky = chance
+
+    def teardown(self) -> None:
+        """Once the troubles end, what was accepted gets done: safety alone is no service."""
+        if not hasattr(self, "world"):
+            return
+        world = self.world
+        world.flaky = 0.0
+        world.network.heal()
+        world.store.out_until = 0.0
+        world.store.refuses.clear()
+        world.clock.advance(70.0)
+        for worker in world.workers.values():
+            worker.faulty = False
+        for ref in sorted(world.accepted):
+            if world.specs[ref].job_class == "broken":
+                world.cancel(ref)
+        world.clock.advance(150.0)
+        for ref in sorted(world.accepted):
+            world.poll(ref)
+        world.clock.advance(2.0)
+        for ref in sorted(world.accepted):
+            if world.specs[ref].job_class != "broken":
+                assert ref in world.told_final, f"{ref} never ends"
+
+
+TestRules = Rules.TestCase
+TestRules.settings = settings(
+    max_examples=100,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    # Shrinking replays whole days for minutes; the first failing one is short enough to read.
+    phases=[Phase.generate],
+    suppress_health_check=list(HealthCheck),
+)
+
+
+def test_a_quiet_world_does_its_work() -> None:
+    world = World(1)
+    world.clock.advance(3.0)
+    for number in range(5):
+        world.submit(job(f"job-{number}", tasks=4))
+    world.clock.advance(60.0)
+    for number in range(5):
+        world.poll(f"job-{number}")
+    world.clock.advance(1.0)
+    assert world.told_final == {f"job-{number}": "done" for number in range(5)}
+    assert world.started == 20
