--- a/src/crosscleat/core/fleet.py
+++ b/src/crosscleat/core/fleet.py
@@ -15,6 +15,11 @@
 
 MOST_PER_RENTAL = 50
 WINDOW_S = 120.0
+LATELY_S = 20.0
+DEAR = 1.6
+DEAR_IDLE_S = 4.0
+LEAST_CHARGE_S = 60.0
+"""A machine that is deleted costs at least so long."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +69,12 @@
     def mean(self) -> float:
         return sum(c for _, c in self._samples) / len(self._samples) if self._samples else 0.0
 
+    def lately(self) -> float:
+        if not self._samples:
+            return 0.0
+        end = self._samples[-1][0]
+        return max(cpus for at, cpus in self._samples if end - at <= LATELY_S)
+
     def spread(self) -> float:
         mean = self.mean()
         if len(self._samples) < 2:
@@ -89,12 +100,24 @@
         return self._pools.setdefault(key, Pool())
 
     def target_cpus(self, current: float) -> float:
-        """Room to keep: present demand or its usual level, plus headroom for what arrives."""
+        """Cheap room to keep: present demand or its usual level, and headroom for arrivals."""
         usual = self.demand.mean() + 0.5 * self.demand.spread()
         return max(current, usual) + max(
             self._knobs.headroom * self.demand.mean(), self.demand.urgent_job()
         )
 
+    def dear_target_cpus(self, current: float) -> float:
+        """Room worth a dear machine: what was asked for just now, and a part of an urgent job."""
+        return max(current, self.demand.lately()) + 0.5 * self.demand.urgent_job()
+
+    def dear(self, kind: MachineType, spot: bool) -> bool:
+        """Whether a machine's CPUs cost well over the cheapest there are."""
+        cheapest = min(
+            (min(t.spot_price, t.price) / t.cpus for t in self.types.values() if t.cpus > 0),
+            default=0.0,
+        )
+        return kind.price_for(spot) / max(kind.cpus, 1e-9) > DEAR * cheapest
+
     def wanted(
         self,
         jobs: Iterable[Job],
@@ -183,6 +206,7 @@
             for kind in self.types.values()
             if kind.cpus <= 2.0 * cpus
             for key in self._open(kind, now)
+            if not self.dear(kind, key.spot)
         ]
         if not options:
             return None
@@ -198,18 +222,19 @@
     ) -> list[Machine]:
         """Idle machines that the warm room does not need, the dearest first."""
         usable = [m for m in machines if m.up and not m.dropping]
-        spare = sum(m.type.cpus for m in usable) - self.target_cpus(current)
+        capacity = sum(m.type.cpus for m in usable)
         idle = sorted(
-            (
-                m
-                for m in usable
-                if m.idle_since is not None and now - m.idle_since >= self._knobs.idle_return_s
-            ),
+            (m for m in usable if m.idle_since is not None),
             key=lambda m: -m.type.price_for(m.spot) / max(m.type.cpus, 1e-9),
         )
         found = []
         for machine in idle:
-            if machine.type.cpus <= spare:
-                spare -= machine.type.cpus
+            dear = self.dear(machine.type, machine.spot)
+            target = self.dear_target_cpus(current) if dear else self.target_cpus(current)
+            patience = DEAR_IDLE_S if dear else self._knobs.idle_return_s
+            rested = now - (machine.idle_since or now) >= patience
+            paid = now - machine.born >= LEAST_CHARGE_S
+            if rested and paid and capacity - machine.type.cpus >= target:
+                capacity -= machine.type.cpus
                 found.append(machine)
         return found
