--- a/src/crosscleat/core/model.py
+++ b/src/crosscleat/core/model.py
@@ -119,14 +119,13 @@
     peers: tuple[str, ...] = ()
     knobs: Knobs = field(default_factory=Knobs)
 
-    def class_limit(self, kind: str, job_class: str) -> float | None:
-        """The shortest time the aims of this kind give a class, if they name it."""
-        found = [
+    def class_limits(self, kind: str, job_class: str) -> tuple[float, ...]:
+        """The times that the aims of this kind give a class."""
+        return tuple(
             o.within_s
             for o in self.objectives
             if o.kind == kind and o.job_class == job_class and o.within_s is not None
-        ]
-        return min(found) if found else None
+        )
 
 
 def team_can_hold(job: JobSpec, limits: TeamLimits) -> bool:
--- a/src/crosscleat/core/rounds.py
+++ b/src/crosscleat/core/rounds.py
@@ -152,8 +152,9 @@
             machine = room.machine
             fetch_s = self._fetch_s(job, room)
             score = self._scorer.score(job.spec, age, machine.type, machine.spot, fetch_s)
-            # Among equals the fuller machine, so that others empty and can be returned.
-            rank = (-score, room.cpus)
+            # Among near equals the fuller machine: others empty and can be returned, and large
+            # rooms stay whole for large tasks.
+            rank = (-round(score, 2), room.cpus)
             if best is None or rank < best:
                 best, best_room = rank, room
         if best is not None:
@@ -227,7 +228,7 @@
     def _best_utility(self, job: Job) -> float:
         """Paper section 3.3: what the task could earn if it started now."""
         age = self._now - job.submitted
-        return self._scorer.utility(job.spec, age + self._scorer.run_s(job.spec))
+        return self._scorer.utility(job.spec, age, age + self._scorer.run_s(job.spec))
 
     def _max_cost(self, waiting: list[Job]) -> float:
         kinds = {(room.machine.type.name, room.machine.spot): room.machine for room in self._rooms}
--- a/src/crosscleat/core/scoring.py
+++ b/src/crosscleat/core/scoring.py
@@ -15,6 +15,8 @@
     Priority.PRODUCTION: 8.0,
 }
 MAX_UTILITY = max(PEAKS.values())
+LATE_START = 0.8
+"""What is left of the utility for each start aim that is missed."""
 
 
 class RunTimes:
@@ -47,6 +49,7 @@
         self._deployment = deployment
         self._run_times = run_times
         self._limits: dict[str, float | None] = {}
+        self._starts: dict[str, tuple[float, ...]] = {}
         self.weight = deployment.knobs.weight
         self.max_cost = 1e-9
 
@@ -55,18 +58,31 @@
         if job.deadline_s is not None:
             return job.deadline_s
         if job.job_class not in self._limits:
-            self._limits[job.job_class] = self._deployment.class_limit("finished", job.job_class)
+            limits = self._deployment.class_limits("finished", job.job_class)
+            self._limits[job.job_class] = min(limits, default=None)
         limit = self._limits[job.job_class]
         return limit if limit is not None else 60.0 + 3.0 * self._run_times.estimate(job)
 
-    def utility(self, job: JobSpec, completion_age: float) -> float:
-        """Monotonically decreasing in the age at completion: slowly until due, then quickly."""
+    def utility(self, job: JobSpec, start_age: float, completion_age: float) -> float:
+        """Monotonically decreasing in both ages: slowly until due, then quickly.
+
+        The paper knows completion alone; the aims also ask for starts within a time.
+        """
         due = max(1.0, self.due(job))
         peak = PEAKS[job.priority]
+        for limit in self._start_limits(job.job_class):
+            if start_age > limit:
+                peak *= LATE_START
         if completion_age <= due:
             return peak * (1.0 - 0.3 * max(0.0, completion_age) / due)
         return peak * 0.7 * math.exp(-(completion_age - due) / due)
 
+    def _start_limits(self, job_class: str) -> tuple[float, ...]:
+        limits = self._starts.get(job_class)
+        if limits is None:
+            limits = self._starts[job_class] = self._deployment.class_limits("wait", job_class)
+        return limits
+
     def run_s(self, job: JobSpec) -> float:
         return self._run_times.estimate(job)
 
@@ -85,6 +101,6 @@
     def score(
         self, job: JobSpec, age: Seconds, machine: MachineType, spot: bool, fetch_s: float
     ) -> float:
-        utility = self.utility(job, age + fetch_s + self.run_s(job))
+        utility = self.utility(job, age + fetch_s, age + fetch_s + self.run_s(job))
         cost = self.cost(job, machine, spot, fetch_s)
         return (1.0 - self.weight) * utility / MAX_UTILITY - self.weight * cost / self.max_cost
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -72,8 +72,8 @@
     raw["settings"]["workers"]["unknown"] = 3
     found = parse(raw, "file").deployment(Knobs())
     assert found.peers == ("n-1",)
-    assert found.class_limit("wait", "a") == 2.0
-    assert found.class_limit("finished", "a") is None
+    assert found.class_limits("wait", "a") == (2.0, 12.0)
+    assert found.class_limits("finished", "a") == ()
 
 
 @given(
