--- a/src/crosscleat/adapters/peer_link.py
+++ b/src/crosscleat/adapters/peer_link.py
@@ -27,12 +27,15 @@
 class Link:
     """Our connection to one other controller: relays go out, answers and counts come in."""
 
-    def __init__(self, member: str, peer: str, address: str, rng: Random) -> None:
+    def __init__(
+        self, member: str, peer: str, address: str, rng: Random, gone: Callable[[str], None]
+    ) -> None:
         self._member = member
         self.peer = peer
         host, _, port = address.rpartition(":")
         self._host, self._port = host, int(port)
         self._rng = rng
+        self._gone = gone
         self._writer: asyncio.StreamWriter | None = None
         self._waiting: dict[int, asyncio.Future[Answered | None]] = {}
         self._number = 0
@@ -65,16 +68,26 @@
             del self._waiting[number]
 
     async def run(self) -> None:
+        was_up = False
         while True:
-            await self._connect()
-            await asyncio.sleep(0.3 + 0.4 * self._rng.random())
-
-    async def _connect(self) -> None:
+            try:
+                was_up = await self._connect()
+            except ConnectionRefusedError:
+                if was_up:
+                    self._gone(self.peer)
+                was_up = False
+            # Right after a loss at once: whether it refuses tells a crash from a cut.
+            await asyncio.sleep(0.02 if was_up else 0.3 + 0.4 * self._rng.random())
+
+    async def _connect(self) -> bool:
+        """Keep a connection while it lasts; whether there was one."""
         try:
             async with asyncio.timeout(CONNECT_S):
                 reader, writer = await asyncio.open_connection(self._host, self._port)
+        except ConnectionRefusedError:
+            raise
         except (OSError, TimeoutError):
-            return
+            return False
         writer.write(wire.frame(wire.Hello(self._member)))
         self._writer = writer
         pinger = asyncio.create_task(self._ping())
@@ -95,6 +108,7 @@
             for future in self._waiting.values():
                 if not future.done():
                     future.set_result(None)
+        return True
 
     async def _ping(self) -> None:
         while True:
--- a/src/crosscleat/app.py
+++ b/src/crosscleat/app.py
@@ -19,7 +19,7 @@
 from .adapters.peer_link import Link, PeerServer
 from .adapters.state_client import StateClient
 from .adapters.worker_client import WorkerClient
-from .core.controller import Began, CheckIn, Completed, Controller, Input, Progress, Tick
+from .core.controller import Began, CheckIn, Completed, Controller, Input, PeerGone, Progress, Tick
 from .core.effects import (
     Answer,
     Commit,
@@ -40,6 +40,7 @@
     Touch,
     Watch,
 )
+from .core.ids import Member
 from .core.model import Knobs
 from .settings import Settings
 from .wire import peers as peer_wire
@@ -69,7 +70,9 @@
         self._cloud = CloudClient(session, settings.endpoints.cloud)
         self._workers = WorkerClient(session)
         self._links = {
-            peer.member: Link(settings.member, peer.member, peer.endpoint, self._rng)
+            peer.member: Link(
+                settings.member, peer.member, peer.endpoint, self._rng, self._peer_gone
+            )
             for peer in settings.peers
         }
         self._requests: dict[int, asyncio.Future[Answer | Orders]] = {}
@@ -205,6 +208,9 @@
             return 200, worker_wire.answer(answer.token, answer.orders)
         return NOT_NOW
 
+    def _peer_gone(self, member: str) -> None:
+        self._step(PeerGone(Member(member)))
+
     def _counts(self, counts: peer_wire.Counts) -> None:
         self._step(Progress(counts.jobs))
 
--- a/src/crosscleat/core/controller.py
+++ b/src/crosscleat/core/controller.py
@@ -96,7 +96,14 @@
     counts: dict[str, tuple[int, int]]
 
 
-Input = Tick | Began | Completed | Submit | Refuse | Poll | Abort | CheckIn | Progress
+@dataclass(frozen=True, slots=True)
+class PeerGone:
+    """A peer's link closed and its address refuses connections: its process may have ended."""
+
+    member: Member
+
+
+Input = Tick | Began | Completed | Submit | Refuse | Poll | Abort | CheckIn | Progress | PeerGone
 
 
 class Controller:
@@ -145,6 +152,8 @@
                 self.front.abort(request, ref)
             case Progress(counts):
                 self.front.progress.update(counts)
+            case PeerGone(member):
+                self.election.unseat(member)
             case Tick():
                 self._tick()
             case Began():
--- a/src/crosscleat/core/election.py
+++ b/src/crosscleat/core/election.py
@@ -20,6 +20,7 @@
     Outbox,
     Put,
     Read,
+    Record,
     Revoke,
     Touch,
     Watch,
@@ -30,6 +31,7 @@
 LIFE_S = 4.0
 RENEW_S = 1.0
 WATCH_S = 4.0
+UNSEAT_PAUSE_S = 20.0
 
 
 class Election:
@@ -54,6 +56,8 @@
         self._lost = lost
         self._lease: LeaseId | None = None
         self._epoch = 0
+        self._leader_lease: LeaseId | None = None
+        self._forced_at: Seconds | None = None
         self.token: Token | None = None
         """Our token while we lead."""
         self.leader: Member | None = None
@@ -77,7 +81,7 @@
             self.leader = None
             self._stand(epoch)
         else:
-            self.leader = Member(found.item.value["member"])
+            self._follow(found.item.value)
             if self.leader == self._member:
                 # An earlier process of ours holds it. Nobody else may use that token, and it
                 # knows of no command sent: take it over at once with a new one.
@@ -105,7 +109,7 @@
             # Not all at the same instant: the store counts failed transactions too.
             self._later(0.05 * self._rng.random(), self._again(epoch))
         else:
-            self.leader = Member(mine[-1].value["member"])
+            self._follow(mine[-1].value)
             self._watch(epoch, news.revision)
 
     def _stand(self, epoch: int, version: Version = ABSENT) -> None:
@@ -122,13 +126,33 @@
         self._out.add(
             Commit(
                 ((LEADER, version),),
-                (Put(LEADER, self._record(), lease),),
+                (Put(LEADER, self._record(lease), lease),),
                 lambda result: self._decided(epoch, lease, sent, result),
             )
         )
 
-    def _record(self) -> dict[str, str]:
-        return {"member": self._member, "boot": self._boot}
+    def _record(self, lease: LeaseId) -> Record:
+        return {"member": self._member, "boot": self._boot, "lease": lease}
+
+    def _follow(self, record: Record) -> None:
+        self.leader = Member(record["member"])
+        self._leader_lease = LeaseId(record["lease"])
+
+    def unseat(self, member: Member) -> None:
+        """The leader's process seems to be gone: end its lease now, not when it runs out.
+
+        A refused connection proves nothing, and need not: a leader that is alive finds its
+        lease ended at its next renewal, and whoever is elected reckons with what it still sends.
+        Being wrong costs a change of leader, so not too often.
+        """
+        now = self._clock()
+        if self.leading or self.leader != member or self._leader_lease is None:
+            return
+        if self._forced_at is None or now - self._forced_at > UNSEAT_PAUSE_S:
+            self._forced_at = now
+            self._out.note("info", f"leader {member} seems to be gone: ending its lease")
+            self._out.add(Revoke(self._leader_lease))
+            self._leader_lease = None
 
     def _decided(
         self,
@@ -174,7 +198,7 @@
         epoch = self._epoch
         return Commit(
             ((LEADER, Version(self.token)),),
-            (Put(LEADER, self._record(), self._lease),),
+            (Put(LEADER, self._record(self._lease), self._lease),),
             lambda result: self._rotated(epoch, result),
         )
 
--- a/src/crosscleat/core/leader.py
+++ b/src/crosscleat/core/leader.py
@@ -42,7 +42,9 @@
     JobRef,
     MachineId,
     Seconds,
+    Session,
     TaskId,
+    Token,
     TypeName,
     Version,
     WallTime,
@@ -266,8 +268,6 @@
             # Late, or repeated: the worker has given this one up and drops any answer.
             self.out.add(Answer(request, 503, retry_after_s=1))
             return
-        if report.seen.session > machine.seen.session:
-            machine.checked = 0
         self._apply(machine, report, now, check_in=True)
         orders = self._orders(machine, now, report.seen.tally)
         machine.last_heard = now
@@ -305,11 +305,15 @@
         machine.seen = report.seen
         if check_in:
             machine.checked = report.seen.tally
+        elif later_session:
+            machine.checked = 0
         machine.shown_token = max(machine.shown_token, report.token)
         if not machine.up:
             machine.up = True
             self._changed = True
         if later_session:
+            # A session's lease also runs from its beginning, answered or not.
+            machine.last_answer = max(machine.last_answer, now)
             for hold in self.ledger.before_session(machine, report.seen.session):
                 self._gone(machine, hold, now, None)
             machine.exited.clear()
@@ -454,18 +458,29 @@
             orders = [o for o in self._orders(machine, now, None) if not isinstance(o, ClearOrder)]
             if not orders:
                 continue
-            machine.direct_in_flight = True
-            self.out.add(
-                Direct(
-                    machine.address,
-                    token,
-                    machine.seen.session,
-                    tuple(orders),
-                    self._direct_done(machine, token),
-                )
-            )
+            self._direct(machine, machine.seen.session, tuple(orders))
 
-    def _direct_done(self, machine: Machine, token: int) -> Callable[[Report | None, bool], None]:
+    def _greet(self, machine: Machine) -> None:
+        """No orders: the answer brings the worker's report, and shows it our token."""
+        if machine.direct_in_flight:
+            return
+        placed = (hold.session for hold in machine.holds.values())
+        session = max(machine.seen.session, Session(1), *placed)
+        self._direct(machine, session, ())
+
+    def _direct(self, machine: Machine, session: Session, orders: tuple[Order, ...]) -> None:
+        token = self.election.token
+        if token is None or machine.address is None:
+            return
+        # Lost orders other than starts can do no harm later, so they put no token at risk.
+        machine.direct_in_flight = True
+        risky = any(isinstance(order, StartOrder) for order in orders)
+        done = self._direct_done(machine, token if risky else Token(0))
+        self.out.add(Direct(machine.address, token, session, orders, done))
+
+    def _direct_done(
+        self, machine: Machine, risked: Token
+    ) -> Callable[[Report | None, bool], None]:
         def done(report: Report | None, perhaps: bool) -> None:
             machine.direct_in_flight = False
             if self.retired:
@@ -473,14 +488,16 @@
             if report is None:
                 machine.direct_after = Seconds(self.now + 3.0)
                 if perhaps:
-                    machine.risk_token = max(machine.risk_token, token)
+                    machine.risk_token = max(machine.risk_token, risked)
                 return
             if report.machine != machine.id:
                 return
             if report.token > (self.election.token or 0):
                 self.election.resign("a worker has seen a higher token")
             elif report.seen > machine.seen and machine.id in self.ledger.machines:
+                self._describe(machine, report.type, report.zone, report.spot)
                 self._apply(machine, report, self.now, check_in=False)
+                machine.last_heard = self.now
 
         return done
 
@@ -594,6 +611,9 @@
             self._describe(machine, entry.type, entry.zone, entry.spot)
             machine.address = machine.address or entry.address
             machine.born = min(machine.born, Seconds(now - entry.age_s))
+            if not machine.up and entry.state == "running":
+                # Not heard of in this term: ask, rather than wait for its next check-in.
+                self._greet(machine)
             if entry.state == "failed":
                 self.drop(machine, "failed")
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -22,6 +22,7 @@
     CheckIn,
     Completed,
     Controller,
+    PeerGone,
     Poll,
     Progress,
     Submit,
@@ -33,6 +34,7 @@
     JobRef,
     LeaseId,
     MachineId,
+    Member,
     Seconds,
     Seen,
     Session,
@@ -471,8 +473,16 @@
             return
         process.alive = False
         self.processes[member] = None
+        for other in MEMBERS:
+            if other != member:
+                self.network.send(other, member, lambda o=other: self.notice(o, member))
         self.clock.after(back_s, lambda: self.begin(member))
 
+    def notice(self, member: str, gone: str) -> None:
+        process = self.processes[member]
+        if process is not None:
+            self.feed(member, process, PeerGone(Member(gone)))
+
     def tick(self, member: str, process: Process) -> None:
         if process.alive:
             self.feed(member, process, Tick())
