--- a/src/crosscleat/cli.py
+++ b/src/crosscleat/cli.py
@@ -23,7 +23,8 @@
     "prompt_round_s": "shortest time between rounds that something new brings about",
     "period_s": "length of a budget period in seconds",
     "budget_factor": "budget of a period, as a multiple of the guarantees' cost",
-    "headroom": "room kept free, as a share of usual demand",
+    "headroom": "least room kept free, as a share of usual demand",
+    "swings": "room kept free, in standard deviations of recent demand",
     "idle_return_s": "seconds after which an idle machine may be returned",
     "silence_leases": "leases' worth of silence after which a machine is given up",
 }
--- a/src/crosscleat/core/fleet.py
+++ b/src/crosscleat/core/fleet.py
@@ -4,18 +4,19 @@
 
 import math
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from .ids import LONG_AGO, Seconds, TypeName, Zone
 from .jobs import Job
-from .model import Knobs, MachineType, Priority, TeamLimits
+from .model import JobSpec, Knobs, MachineType, Priority, TeamLimits
 from .placements import Machine
 from .rounds import troubled, within
 
 MOST_PER_RENTAL = 50
 WINDOW_S = 120.0
-LATELY_S = 20.0
+PRESSING_BOOTS = 0.5
+PRESSING_SLACK = 0.2
 DEAR = 1.6
 DEAR_IDLE_S = 4.0
 LEAST_CHARGE_S = 60.0
@@ -69,12 +70,6 @@
     def mean(self) -> float:
         return sum(c for _, c in self._samples) / len(self._samples) if self._samples else 0.0
 
-    def lately(self) -> float:
-        if not self._samples:
-            return 0.0
-        end = self._samples[-1][0]
-        return max(cpus for at, cpus in self._samples if end - at <= LATELY_S)
-
     def spread(self) -> float:
         mean = self.mean()
         if len(self._samples) < 2:
@@ -90,8 +85,9 @@
 class Fleet:
     """Rents and returns; holds what is known of pools, whose capacity nobody publishes."""
 
-    def __init__(self, knobs: Knobs) -> None:
+    def __init__(self, knobs: Knobs, due: Callable[[JobSpec], float]) -> None:
         self._knobs = knobs
+        self._due = due
         self._pools: dict[PoolKey, Pool] = {}
         self.types: dict[TypeName, MachineType] = {}
         self.demand = Demand()
@@ -99,16 +95,15 @@
     def pool(self, key: PoolKey) -> Pool:
         return self._pools.setdefault(key, Pool())
 
-    def target_cpus(self, current: float) -> float:
-        """Cheap room to keep: present demand or its usual level, and headroom for arrivals."""
-        usual = self.demand.mean() + 0.5 * self.demand.spread()
-        return max(current, usual) + max(
-            self._knobs.headroom * self.demand.mean(), self.demand.urgent_job()
-        )
+    def target_cpus(self) -> float:
+        """Room to keep: the usual demand and its usual swings, and an urgent job's room.
 
-    def dear_target_cpus(self, current: float) -> float:
-        """Room worth a dear machine: what was asked for just now, and a part of an urgent job."""
-        return max(current, self.demand.lately()) + 0.5 * self.demand.urgent_job()
+        Not the present demand: a machine rented for a burst is up when most of it has passed,
+        and is charged for a minute.
+        """
+        usual = self.demand.mean()
+        swings = self._knobs.swings * self.demand.spread()
+        return usual + max(swings, self._knobs.headroom * usual, self.demand.urgent_job())
 
     def dear(self, kind: MachineType, spot: bool) -> bool:
         """Whether a machine's CPUs cost well over the cheapest there are."""
@@ -159,9 +154,9 @@
                 if home is not None:
                     free[home.id][0] -= spec.cpus
                     free[home.id][1] -= spec.memory_gb
-                elif short is None:
+                elif short is None and self._pressing(job, usable, now):
                     short, short_tasks = job, 1
-                elif short.ref == job.ref:
+                elif short is not None and short.ref == job.ref:
                     short_tasks += 1
         self.demand.sample(current, now)
         if short is not None:
@@ -169,11 +164,19 @@
             if found is not None:
                 return found
         capacity = sum(m.type.cpus for m in usable)
-        lacking = self.target_cpus(current) - capacity
+        lacking = self.target_cpus() - capacity
         if lacking <= 0:
             return None
         return self._cheapest(lacking, now)
 
+    def _pressing(self, job: Job, usable: list[Machine], now: Seconds) -> bool:
+        """Whether it has waited too long for room, or none of the machines can ever have it."""
+        if not any(m.type.holds(job.spec) and m.allowed(job.spec) for m in usable):
+            return True
+        boot_s = min((k.boot_s for k in self.types.values() if k.holds(job.spec)), default=0.0)
+        slack = max(0.0, self._due(job.spec) - job.spec.estimate_s)
+        return now - job.submitted > min(PRESSING_BOOTS * boot_s, PRESSING_SLACK * slack)
+
     def _pick(self, job: Job, tasks: int, now: Seconds) -> Wanted | None:
         """The cheapest way to house tasks that no rented machine can start."""
         spec = job.spec
@@ -206,7 +209,6 @@
             for kind in self.types.values()
             if kind.cpus <= 2.0 * cpus
             for key in self._open(kind, now)
-            if not self.dear(kind, key.spot)
         ]
         if not options:
             return None
@@ -217,9 +219,7 @@
         keys = [PoolKey(kind.name, zone, spot) for zone in kind.zones for spot in (True, False)]
         return [key for key in keys if self.pool(key).refused_until <= now]
 
-    def returnable(
-        self, machines: Iterable[Machine], current: float, now: Seconds
-    ) -> list[Machine]:
+    def returnable(self, machines: Iterable[Machine], now: Seconds) -> list[Machine]:
         """Idle machines that the warm room does not need, the dearest first."""
         usable = [m for m in machines if m.up and not m.dropping]
         capacity = sum(m.type.cpus for m in usable)
@@ -228,9 +228,9 @@
             key=lambda m: -m.type.price_for(m.spot) / max(m.type.cpus, 1e-9),
         )
         found = []
+        target = self.target_cpus()
         for machine in idle:
             dear = self.dear(machine.type, machine.spot)
-            target = self.dear_target_cpus(current) if dear else self.target_cpus(current)
             patience = DEAR_IDLE_S if dear else self._knobs.idle_return_s
             rested = now - (machine.idle_since or now) >= patience
             paid = now - machine.born >= LEAST_CHARGE_S
--- a/src/crosscleat/core/leader.py
+++ b/src/crosscleat/core/leader.py
@@ -75,6 +75,7 @@
 START_CONTACT_S = 3.0
 LAZY_S = 0.8
 LIST_S = 10.0
+SLOW_START_S = 2.0
 ROTATE_S = 3.0
 UNHEARD_S = 6.0
 """No machine at all was heard for so long: the fault is with us."""
@@ -112,10 +113,10 @@
         self._wall_offset = wall - now
         self.jobs: dict[JobRef, Job] = {}
         self.ledger = Ledger()
-        self.fleet = Fleet(deployment.knobs)
-        self.fleet.types = types
         self.run_times = RunTimes()
         self.scorer = Scorer(deployment, self.run_times)
+        self.fleet = Fleet(deployment.knobs, self.scorer.due)
+        self.fleet.types = types
         self.watched = now
         """When the watch that last answered was opened: no cancellation before it is unknown."""
         self.tombstones: dict[MachineId, Seconds] = {}
@@ -347,10 +348,22 @@
         hold.state = task.state
         if task.state == reports.RUNNING and hold.running_since is None:
             hold.running_since = now
+            waited = now - self._submitted(hold, now)
+            if waited > SLOW_START_S:
+                self.out.note(
+                    "debug",
+                    f"task {hold.task} ({hold.spec.job_class}) runs {waited:.1f} s after it was "
+                    f"submitted, {now - hold.placed_at:.1f} s after attempt {hold.attempt} was "
+                    f"placed on {machine.id}",
+                )
             machine.images[hold.spec.image] = min(
                 now, machine.images.get(hold.spec.image, Seconds(now))
             )
 
+    def _submitted(self, hold: Hold, now: Seconds) -> Seconds:
+        job = self.jobs.get(hold.task.job)
+        return now if job is None else job.submitted
+
     def _exited(self, machine: Machine, hold: Hold, cause: str, now: Seconds) -> None:
         if cause == "done":
             if hold.running_since is not None:
@@ -730,8 +743,7 @@
             more = self._rate(wanted)
             if self.budget.admits(rate, more, self._waiting_cost(jobs), now):
                 self._rent(wanted)
-        current = sum(self.ledger.team_cpus.values())
-        for machine in self.fleet.returnable(machines, current, now):
+        for machine in self.fleet.returnable(machines, now):
             self.drop(machine, "idle")
 
     def _heard_of_fleet(self, now: Seconds) -> bool:
--- a/src/crosscleat/core/model.py
+++ b/src/crosscleat/core/model.py
@@ -99,7 +99,8 @@
     prompt_round_s: float = 0.15
     period_s: float = 600.0
     budget_factor: float = 1.5
-    headroom: float = 0.2
+    headroom: float = 0.05
+    swings: float = 0.3
     idle_return_s: float = 25.0
     silence_leases: float = 0.7
 
