--- /dev/null
+++ b/tests/standins.py
@@ -0,0 +1,298 @@
+"""Stand-ins for the region on loopback: state service, cloud and workers, met by the protocol.
+
+Run as a program, it prints its addresses and serves until killed. Written for one test; it
+knows just enough of the protocol to run jobs, and nothing of crosscleat.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+from typing import Any
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+REPORT_S = 0.3
+LEASE_S = 6.0
+
+
+def pack(value: Any, status: int = 200) -> web.Response:
+    return web.Response(status=status, body=msgspec.msgpack.encode(value))
+
+
+async def unpack(request: web.Request) -> Any:
+    return msgspec.msgpack.decode(await request.read())
+
+
+class StateService:
+    def __init__(self) -> None:
+        self.revision = 0
+        self.items: dict[str, tuple[Any, int, int | None]] = {}
+        self.log: list[tuple[int, str, Any]] = []
+        self.leases: dict[int, tuple[float, float]] = {}
+        self.changed = asyncio.Event()
+
+    def routes(self) -> list[web.RouteDef]:
+        return [
+            web.get("/kv", self.scan),
+            web.get("/kv/{key:.+}", self.read),
+            web.post("/commit", self.commit),
+            web.post("/grants", self.grant),
+            web.post("/grants/{id}/touch", self.touch),
+            web.delete("/grants/{id}", self.revoke),
+            web.get("/changes", self.watch),
+        ]
+
+    def note(self, key: str, value: Any) -> None:
+        self.log.append((self.revision, key, value))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def end_lease(self, lease: int) -> None:
+        self.leases.pop(lease, None)
+        for key in [k for k, (_, _, held) in self.items.items() if held == lease]:
+            self.revision += 1
+            del self.items[key]
+            self.note(key, None)
+
+    async def expire(self) -> None:
+        while True:
+            await asyncio.sleep(0.05)
+            now = asyncio.get_running_loop().time()
+            for lease, (_, end) in list(self.leases.items()):
+                if end < now:
+                    self.end_lease(lease)
+
+    async def read(self, request: web.Request) -> web.Response:
+        key = request.match_info["key"]
+        if key not in self.items:
+            return pack({"ledger_rev": self.revision}, 404)
+        value, stamp, permit = self.items[key]
+        return pack({"path": key, "data": value, "stamp": stamp, "permit": permit})
+
+    async def scan(self, request: web.Request) -> web.Response:
+        prefix, after = request.query["starts"], request.query.get("after", "")
+        keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
+        # Small pages, so that reading on is tested.
+        pairs = [{"path": k, "data": self.items[k][0], "stamp": self.items[k][1]} for k in keys[:3]]
+        return pack({"pairs": pairs, "more": len(keys) > 3, "ledger_rev": self.revision})
+
+    async def commit(self, request: web.Request) -> web.Response:
+        body = await unpack(request)
+        stamps = {key: stamp for key, (_, stamp, _) in self.items.items()}
+        failed = [c["path"] for c in body["if"] if stamps.get(c["path"], 0) != c["stamp"]]
+        if failed:
+            return pack({"failed": failed, "ledger_rev": self.revision}, 409)
+        writes = body.get("writes", [])
+        if any(w.get("permit") not in (None, *self.leases) for w in writes):
+            return pack({"error": "no such lease"}, 400)
+        self.revision += 1 if writes else 0
+        for write in writes:
+            if "set" in write:
+                self.items[write["set"]] = (write["data"], self.revision, write.get("permit"))
+                self.note(write["set"], write["data"])
+            else:
+                self.items.pop(write["delete"], None)
+                self.note(write["delete"], None)
+        return pack({"ledger_rev": self.revision})
+
+    async def grant(self, request: web.Request) -> web.Response:
+        life = (await unpack(request))["life_ms"] / 1000.0
+        lease = len(self.leases) + 1000 * (self.revision + 1)
+        self.leases[lease] = (life, asyncio.get_running_loop().time() + life)
+        return pack({"permit": lease})
+
+    async def touch(self, request: web.Request) -> web.Response:
+        lease = int(request.match_info["id"])
+        if lease not in self.leases:
+            return pack({}, 404)
+        life, _ = self.leases[lease]
+        self.leases[lease] = (life, asyncio.get_running_loop().time() + life)
+        return pack({})
+
+    async def revoke(self, request: web.Request) -> web.Response:
+        self.end_lease(int(request.match_info["id"]))
+        return pack({})
+
+    async def watch(self, request: web.Request) -> web.Response:
+        prefix, after = request.query["starts"], int(request.query["after"])
+        deadline = asyncio.get_running_loop().time() + int(request.query["block_ms"]) / 1000.0
+        while True:
+            news = [
+                {"delete": k, "stamp": r} if v is None else {"set": k, "data": v, "stamp": r}
+                for r, k, v in self.log
+                if r > after and k.startswith(prefix)
+            ]
+            left = deadline - asyncio.get_running_loop().time()
+            if news or left <= 0:
+                return pack({"ledger_rev": self.revision, "news": news})
+            try:
+                async with asyncio.timeout(left):
+                    await self.changed.wait()
+            except TimeoutError:
+                continue
+
+
+class Worker:
+    def __init__(self, name: str, region: Region) -> None:
+        self.name = name
+        self.region = region
+        self.address = ""
+        self.tally = 0
+        self.token = 0
+        self.tasks: dict[tuple[str, int], dict[str, Any]] = {}
+
+    async def run(self) -> None:
+        app = web.Application()
+        app.add_routes([web.post("/do", self.do), web.get("/show", self.show)])
+        self.address = await serve(app)
+        node = 0
+        async with aiohttp.ClientSession() as session:
+            while True:
+                url = f"http://{self.region.controllers[node % 3]}/checkin"
+                try:
+                    async with asyncio.timeout(2.0), session.post(url, data=self.report()) as got:
+                        answer = msgspec.msgpack.decode(await got.read()) if got.ok else None
+                except (aiohttp.ClientError, OSError, TimeoutError):
+                    answer = None
+                if answer is None:
+                    node += 1
+                    await asyncio.sleep(0.2)
+                    continue
+                if answer["baton"] >= self.token:
+                    self.token = answer["baton"]
+                    self.execute(answer["orders"])
+                await asyncio.sleep(REPORT_S)
+
+    def report(self) -> bytes:
+        self.tally += 1
+        return msgspec.msgpack.encode(
+            {
+                "box": self.name,
+                "addr": self.address,
+                "rig": "c4",
+                "yard": "a",
+                "loaners": False,
+                "shift": 1,
+                "tally": self.tally,
+                "baton": self.token,
+                "recall_s": None,
+                "picks": list(self.tasks.values()),
+            }
+        )
+
+    async def show(self, _: web.Request) -> web.Response:
+        return web.Response(body=self.report())
+
+    async def do(self, request: web.Request) -> web.Response:
+        body = await unpack(request)
+        if body["baton"] < self.token or body["shift"] != 1:
+            return web.Response(status=409, body=self.report())
+        self.token = body["baton"]
+        self.execute(body["orders"])
+        return web.Response(body=self.report())
+
+    def execute(self, orders: list[dict[str, Any]]) -> None:
+        for order in orders:
+            key = (order["pick"], order["try"])
+            if order["verb"] == "clear":
+                self.tasks.pop(key, None)
+            elif order["verb"] == "stop" and key in self.tasks:
+                self.tasks[key].update(status="exited", cause="stopped")
+            elif order["verb"] == "start" and key not in self.tasks:
+                others = [t for (pick, _), t in self.tasks.items() if pick == order["pick"]]
+                if any(t["status"] != "exited" for t in others):
+                    self.region.broken.append(f"{order['pick']} twice on {self.name}")
+                task = {"pick": order["pick"], "try": order["try"], "status": "running"}
+                self.tasks[key] = task
+                self.region.begin(order["pick"], self.name)
+                asyncio.get_running_loop().call_later(0.5, self.finish, task)
+
+    def finish(self, task: dict[str, Any]) -> None:
+        if task["status"] == "running":
+            task.update(status="exited", cause="done")
+
+
+class Region:
+    def __init__(self, controllers: list[str]) -> None:
+        self.controllers = controllers
+        self.workers: list[Worker] = []
+        self.hires: dict[str, list[str]] = {}
+        self.starts: dict[str, int] = {}
+        self.broken: list[str] = []
+        self.running: set[asyncio.Task[None]] = set()
+
+    def routes(self) -> list[web.RouteDef]:
+        return [
+            web.get("/machine_types", self.types),
+            web.post("/rentals", self.rent),
+            web.post("/rentals/delete", self.delete),
+            web.get("/rentals", self.list),
+            web.get("/seen", self.seen),
+        ]
+
+    def begin(self, task: str, worker: str) -> None:
+        self.starts[task] = self.starts.get(task, 0) + 1
+        for other in self.workers:
+            if other.name != worker and any(
+                pick == task and held["status"] == "running"
+                for (pick, _), held in other.tasks.items()
+            ):
+                self.broken.append(f"{task} on {worker} and {other.name}")
+
+    async def seen(self, _: web.Request) -> web.Response:
+        return pack({"starts": self.starts, "broken": self.broken})
+
+    async def types(self, _: web.Request) -> web.Response:
+        rig = {"sku": "c4", "cores": 4, "gpus": 0, "memory_gb": 16, "local_gb": 9, "price": 1.0,
+               "pull_gb_per_s": 1.0, "low_price": 0.4, "ready_s": 1, "yards": ["a"]}  # fmt: skip
+        return pack({"rigs": [rig]})
+
+    async def rent(self, request: web.Request) -> web.Response:
+        body = await unpack(request)
+        if body["hire"] not in self.hires:
+            if body["loaners"]:
+                return pack({"error": "no capacity"}, 503)
+            names = [f"m-{len(self.workers) + n:06d}" for n in range(body["number"])]
+            self.hires[body["hire"]] = names
+            for name in names:
+                worker = Worker(name, self)
+                self.workers.append(worker)
+                self.running.add(asyncio.create_task(worker.run()))
+        return pack({"boxes": self.hires[body["hire"]]})
+
+    async def delete(self, _: web.Request) -> web.Response:
+        return pack({"error": "trouble"}, 503)
+
+    async def list(self, _: web.Request) -> web.Response:
+        boxes = [
+            {"ref": w.name, "addr": w.address, "rig": "c4", "yard": "a", "loaners": False,
+             "status": "running", "age_s": 5.0}
+            for w in self.workers
+        ]  # fmt: skip
+        return pack({"boxes": boxes, "more": False})
+
+
+async def serve(app: web.Application) -> str:
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    host, port = runner.addresses[0][:2]
+    return f"{host}:{port}"
+
+
+async def main(controllers: list[str]) -> None:
+    store, region = StateService(), Region(controllers)
+    state, cloud = web.Application(), web.Application()
+    state.add_routes(store.routes())
+    cloud.add_routes(region.routes())
+    print(json.dumps({"state": await serve(state), "cloud": await serve(cloud)}), flush=True)
+    await store.expire()
+
+
+if __name__ == "__main__":
+    asyncio.run(main(sys.argv[1:]))
