--- a/src/crosscleat/core/leader.py
+++ b/src/crosscleat/core/leader.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from random import Random
 
 from . import reports
@@ -61,7 +61,7 @@
     spec_of,
     work_key,
 )
-from .model import Deployment, MachineType
+from .model import Deployment, MachineType, Shape
 from .placements import NOWHERE, AttemptKey, Hold, Ledger, Machine
 from .reports import ListedMachine, Report, TaskReport
 from .rounds import Round, fetch_time, troubled, within
@@ -234,12 +234,8 @@
         if job.aborted:
             return
         job.aborted = True
-        for stretch in job.stretches.values():
-            for index, placed in list(stretch.placed.items()):
-                machine = self.ledger.machines.get(placed.machine)
-                hold = machine and machine.holds.get((TaskId(job.ref, index), placed.attempt))
-                if machine and hold:
-                    self._withdraw(machine, hold, 0.0)
+        for machine, hold in list(self._holds_of(job)):
+            self._withdraw(machine, hold, 0.0)
 
     def _withdraw(self, machine: Machine, hold: Hold, grace_s: float) -> None:
         """Stop the attempt; its hold stays until it is proven gone."""
@@ -382,6 +378,8 @@
         if cause == "done":
             job.finish(index)
             return
+        if job.spec.shape is Shape.GANG and not job.aborted:
+            self._disband(job)
         if cause is None or cause == "stopped":
             job.requeue(index, None)
             return
@@ -400,6 +398,20 @@
             pause = 0.3
         job.requeue(index, Seconds(now + pause))
 
+    def _disband(self, job: Job) -> None:
+        """One of a gang is gone: the others can't go on, and all are placed anew together."""
+        for machine, hold in list(self._holds_of(job)):
+            if not hold.withdrawn:
+                self._withdraw(machine, hold, hold.spec.save_s)
+
+    def _holds_of(self, job: Job) -> Iterator[tuple[Machine, Hold]]:
+        for stretch in job.stretches.values():
+            for index, placed in list(stretch.placed.items()):
+                machine = self.ledger.machines.get(placed.machine)
+                hold = machine and machine.holds.get((TaskId(job.ref, index), placed.attempt))
+                if machine and hold:
+                    yield machine, hold
+
     def _blamed(self, machine: Machine) -> bool:
         """Whether several jobs failed on it, leaving out those that fail wherever they are."""
         jobs = (self.jobs.get(JobRef(ref)) for ref in machine.errors)
@@ -919,10 +931,8 @@
             stretch.dirty = True
             stretch.urgent = True
             if live_key(job.ref) in failed:
-                for index, placed in list(stretch.placed.items()):
-                    machine = self.ledger.machines.get(placed.machine)
-                    hold = machine and machine.holds.get((TaskId(job.ref, index), placed.attempt))
-                    if machine and hold and not hold.recorded:
+                for machine, hold in list(self._holds_of(job)):
+                    if not hold.recorded:
                         self._gone(machine, hold, self.now, None)
         for job in batch.jobs:
             if live_key(job.ref) in failed and batch.conditions[live_key(job.ref)] == job.version:
@@ -963,14 +973,7 @@
         return changed
 
     def running(self, job: Job) -> int:
-        count = 0
-        for stretch in job.stretches.values():
-            for index, placed in stretch.placed.items():
-                machine = self.ledger.machines.get(placed.machine)
-                hold = machine and machine.holds.get((TaskId(job.ref, index), placed.attempt))
-                if hold and hold.state == reports.RUNNING:
-                    count += 1
-        return count
+        return sum(1 for _, hold in self._holds_of(job) if hold.state == reports.RUNNING)
 
 
 class Batch:
--- a/src/crosscleat/core/model.py
+++ b/src/crosscleat/core/model.py
@@ -18,6 +18,15 @@
     PRODUCTION = 3
 
 
+class Shape(enum.IntEnum):
+    ARRAY = 0
+    """Independent tasks, each runs to completion."""
+    GANG = 1
+    """Tasks that run together or not at all."""
+    SERVICE = 2
+    """Tasks that run until their user cancels them."""
+
+
 class JobSpec(msgspec.Struct, array_like=True, frozen=True):
     """A job as its user described it. Kept in the store in this order of fields."""
 
@@ -40,6 +49,7 @@
     checkpoint_s: float
     save_s: float
     deadline_s: float | None
+    shape: Shape = Shape.ARRAY
 
     def per_zone(self) -> int:
         """How many of the tasks may be in one zone at a time."""
@@ -93,7 +103,7 @@
 class Knobs:
     """What operators may tune; the defaults are the ones measured in docs/design.md."""
 
-    weight: float = 0.3
+    weight: float = 0.5
     drop_threshold: float = 0.05
     round_s: float = 5.0
     prompt_round_s: float = 0.15
@@ -102,7 +112,7 @@
     headroom: float = 0.05
     swings: float = 0.3
     idle_return_s: float = 25.0
-    silence_leases: float = 0.7
+    silence_leases: float = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,7 +140,8 @@
 
 
 def team_can_hold(job: JobSpec, limits: TeamLimits) -> bool:
-    """Whether the team's limit admits one task of the job at all."""
-    return (limits.cpus_max <= 0 or job.cpus <= limits.cpus_max) and (
-        job.gpus <= 0 or limits.gpus_max <= 0 or job.gpus <= limits.gpus_max
+    """Whether the team's limit admits what must run of the job at once."""
+    at_once = job.tasks if job.shape is Shape.GANG else 1
+    return (limits.cpus_max <= 0 or at_once * job.cpus <= limits.cpus_max) and (
+        job.gpus <= 0 or limits.gpus_max <= 0 or at_once * job.gpus <= limits.gpus_max
     )
--- a/src/crosscleat/core/rounds.py
+++ b/src/crosscleat/core/rounds.py
@@ -13,7 +13,7 @@
 
 from .ids import JobRef, MachineId, Seconds
 from .jobs import Job
-from .model import MachineType, Priority, TeamLimits
+from .model import MachineType, Priority, Shape, TeamLimits
 from .placements import Ledger, Machine
 from .scoring import Scorer
 
@@ -128,18 +128,41 @@
         """Stage two: the best pair overall is committed, and again."""
         while heap and len(choices) < most:
             _, _, order, job, room = heapq.heappop(heap)
+            if job.spec.shape is Shape.GANG:
+                choices.extend(self._gang(job))
+                continue
             if self._may(job, room):
                 self._take(job, room)
                 choices.append(Choice(job.ref, room.machine.id))
             self._offer(heap, job, order)
 
+    def _gang(self, job: Job) -> list[Choice]:
+        """A gang commits whole or not at all (DESIGN)."""
+        taken: list[Room] = []
+        while len(taken) < job.waiting_count():
+            found = self._best(job) if self._team_admits(job) else None
+            if found is None:
+                for room in taken:
+                    self._give_back(job, room)
+                return []
+            self._take(job, found[1])
+            taken.append(found[1])
+        return [Choice(job.ref, room.machine.id) for room in taken]
+
     def _offer(self, heap: list[tuple[float, float, int, Job, Room]], job: Job, order: int) -> None:
         """Stage one: the job's next task finds its best machine."""
         taken = self._taken.get(job.ref, 0)
         if taken >= job.waiting_count() or not self._team_admits(job):
             return
-        if troubled(job) and taken + job.placed_count() > 0:
+        if (troubled(job) or job.spec.shape is Shape.GANG) and taken + job.placed_count() > 0:
             return
+        found = self._best(job)
+        if found is not None:
+            age = self._now - job.submitted
+            heapq.heappush(heap, (found[0], -age, order, job, found[1]))
+
+    def _best(self, job: Job) -> tuple[float, Room] | None:
+        """The machine of the highest score for the job's next task; the score is negated."""
         rooms = self._rooms
         if len(rooms) > SAMPLE:
             rooms = self._rng.sample(rooms, SAMPLE)
@@ -157,8 +180,7 @@
             rank = (-round(score, 2), room.cpus)
             if best is None or rank < best:
                 best, best_room = rank, room
-        if best is not None:
-            heapq.heappush(heap, (best[0], -age, order, job, best_room))
+        return None if best is None else (best[0], best_room)
 
     def _may(self, job: Job, room: Room) -> bool:
         if not room.fits(job) or not room.machine.allowed(job.spec):
@@ -214,6 +236,17 @@
             self._pulling[key] = self._fetch_s(job, room)
             room.fetching_s = max(room.fetching_s, self._pulling[key])
 
+    def _give_back(self, job: Job, room: Room) -> None:
+        spec = job.spec
+        room.cpus += spec.cpus
+        room.gpus += spec.gpus
+        room.memory += spec.memory_gb
+        self._free += spec.cpus
+        self._taken[job.ref] -= 1
+        self._cpus[spec.team] -= spec.cpus
+        self._gpus[spec.team] -= spec.gpus
+        self._zones.pop(job.ref, None)
+
     def _fetch_s(self, job: Job, room: Room) -> float:
         """How long the machine will still need for the job's image, behind its other fetches."""
         machine = room.machine
--- a/src/crosscleat/wire/users.py
+++ b/src/crosscleat/wire/users.py
@@ -9,7 +9,7 @@
 from msgspec import Meta
 
 from ..core.ids import Image, JobRef, Team, TypeName, Zone, is_job_ref
-from ..core.model import JobSpec, Priority
+from ..core.model import JobSpec, Priority, Shape
 
 MOST_BYTES = 64 * 1024
 MOST_TASKS = 100_000
@@ -25,13 +25,16 @@
 }
 
 
+SHAPES = {"array": Shape.ARRAY, "ensemble": Shape.GANG, "service": Shape.SERVICE}
+
+
 class Work(msgspec.Struct):
     """The body of POST /work."""
 
     ref: Text
     jobline: Text
     crew: str
-    shape: Literal["array"]
+    shape: Literal["array", "ensemble", "service"]
     urgency: Literal["prod", "urgent", "standard", "low"]
     picks: Annotated[int, Meta(ge=1, le=MOST_TASKS)]
     cores: Amount
@@ -70,6 +73,7 @@
             checkpoint_s=self.stash_every_s,
             save_s=self.stash_s,
             deadline_s=self.due_s,
+            shape=SHAPES[self.shape],
         )
 
 
--- /dev/null
+++ b/tests/test_rounds.py
@@ -0,0 +1,171 @@
+"""Rounds, renting and records, each by itself."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+
+from crosscleat.core.effects import Item
+from crosscleat.core.ids import (
+    Image,
+    JobRef,
+    MachineId,
+    Seconds,
+    Session,
+    Team,
+    Version,
+    WallTime,
+    Zone,
+)
+from crosscleat.core.jobs import STRETCH, Job, work_key
+from crosscleat.core.model import Priority, Shape
+from crosscleat.core.placements import Hold, Ledger, Machine
+from crosscleat.core.rounds import Choice, Round
+from crosscleat.core.scoring import RunTimes, Scorer
+
+from .world import TEAMS, TYPES, deployment, job
+
+NOW = Seconds(100.0)
+
+
+def waiting(ref: str, **changes: Any) -> Job:
+    return Job(job(ref, **changes), Version(1), NOW, WallTime(0.0))
+
+
+def machine(name: str, kind: int = 1, zone: str = "a", spot: bool = True) -> Machine:
+    return Machine(MachineId(name), TYPES[kind], Zone(zone), spot)
+
+
+def plan(jobs: list[Job], machines: list[Machine], most: int = 100) -> list[Choice]:
+    scorer = Scorer(deployment("c0"), RunTimes())
+    return Round(Ledger(), scorer, TEAMS, Random(1), NOW, 0.05, 0.0).plan(jobs, machines, most)
+
+
+jobs = st.builds(
+    lambda n, tasks, team, cpus, priority, place, shape: waiting(
+        f"job-{n}",
+        tasks=tasks,
+        team=Team(team),
+        cpus=cpus,
+        priority=priority,
+        one_zone=place == "one_zone",
+        spread=place == "spread",
+        shape=shape,
+    ),
+    st.integers(0, 10**6),
+    st.integers(1, 9),
+    st.sampled_from(("red", "blue")),
+    st.sampled_from((0.5, 1.0, 2.0, 5.0)),
+    st.sampled_from(Priority),
+    st.sampled_from(("any", "one_zone", "spread")),
+    st.sampled_from(Shape),
+)
+fleets = st.lists(
+    st.tuples(st.integers(0, 1), st.sampled_from(("a", "b")), st.booleans()), max_size=6
+).map(lambda kinds: [machine(f"m-{n}", *kind) for n, kind in enumerate(kinds)])
+
+
+@given(st.lists(jobs, max_size=6, unique_by=lambda j: j.ref), fleets)
+def test_a_round_keeps_room_quota_and_places(waiting_jobs: list[Job], fleet: list[Machine]) -> None:
+    choices = plan(waiting_jobs, fleet)
+    by_ref = {j.ref: j for j in waiting_jobs}
+    for one in fleet:
+        here = [by_ref[c.job].spec for c in choices if c.machine == one.id]
+        assert sum(spec.cpus for spec in here) <= one.type.cpus
+        assert sum(spec.memory_gb for spec in here) <= one.type.memory_gb
+    zones = {one.id: one.zone for one in fleet}
+    for team, limits in TEAMS.items():
+        used = [by_ref[c.job].spec for c in choices if by_ref[c.job].spec.team == team]
+        assert sum(spec.cpus for spec in used) <= limits.cpus_max
+    for ref, one_job in by_ref.items():
+        places = [zones[c.machine] for c in choices if c.job == ref]
+        assert len(places) <= one_job.spec.tasks
+        if one_job.spec.one_zone:
+            assert len(set(places)) <= 1
+        if one_job.spec.spread:
+            assert all(places.count(zone) <= one_job.spec.per_zone() for zone in places)
+        if one_job.spec.shape is Shape.GANG:
+            assert len(places) in (0, one_job.spec.tasks)
+
+
+def test_a_round_prefers_urgent_work_cheap_machines_and_images() -> None:
+    urgent = waiting("job-u", tasks=1, cpus=8.0, priority=Priority.HIGH)
+    normal = waiting("job-n", tasks=1, cpus=8.0, team=Team("blue"))
+    assert plan([normal, urgent], [machine("m-0")]) == [Choice(JobRef("job-u"), MachineId("m-0"))]
+    dear, cheap = machine("m-0", spot=False), machine("m-1")
+    assert [c.machine for c in plan([waiting("job-1", tasks=1)], [dear, cheap])] == ["m-1"]
+    ready, bare = machine("m-0"), machine("m-1")
+    ready.images[Image("big")] = Seconds(0.0)
+    large = waiting("job-1", tasks=1, image=Image("big"), image_gb=20.0)
+    assert [c.machine for c in plan([large], [bare, ready])] == ["m-0"]
+
+
+def test_a_gang_waits_until_it_fits_whole() -> None:
+    gang = waiting("job-g", tasks=4, cpus=2.0, shape=Shape.GANG, team=Team("blue"))
+    assert plan([gang], [machine("m-0", 0)]) == []
+    assert len(plan([gang], [machine("m-0", 0), machine("m-1", 0)])) == 4
+
+
+def test_a_job_that_fails_everywhere_is_tried_one_task_at_a_time() -> None:
+    failing = waiting("job-f", tasks=5, cpus=1.0)
+    failing.failed_on = {MachineId("m-0"), MachineId("m-1")}
+    assert len(plan([failing], [machine("m-0"), machine("m-1")])) == 1
+
+
+@given(st.integers(1, 3 * STRETCH), st.data())
+def test_tasks_survive_the_store(tasks: int, data: st.DataObject) -> None:
+    before = waiting("job-1", tasks=tasks)
+    for _ in range(data.draw(st.integers(0, min(tasks, 40)))):
+        task, attempt = before.place(MachineId("m-1"), Session(2))
+        fate = data.draw(st.sampled_from(("runs", "done", "lost")))
+        if fate == "done":
+            before.finish(task.number)
+        elif fate == "lost":
+            before.requeue(task.number, None)
+        assert before.is_current(task.number, attempt) == (fate == "runs")
+    after = waiting("job-1", tasks=tasks)
+    for stretch in before.stretches.values():
+        record = msgspec.msgpack.decode(msgspec.msgpack.encode(before.work_record(stretch)))
+        after.load_work(Item(work_key(before.ref, stretch.number), record, Version(3)))
+    after.loaded()
+    assert after.done == before.done and after.done_count == before.done_count
+    assert after.placed_count() == before.placed_count()
+    assert after.waiting_count() == before.waiting_count()
+    for number, stretch in before.stretches.items():
+        assert {i: t for i, t in stretch.tries.items() if i in stretch.placed} == {
+            i: p.attempt for i, p in after.stretches[number].placed.items()
+        }
+        # An attempt's number is never given twice, in whatever term.
+        for index, attempt in stretch.tries.items():
+            assert after.stretches[number].tries.get(index) == attempt or before.done[index]
+
+
+def test_what_may_still_start_is_not_proven_gone() -> None:
+    spec = job("job-1")
+    one = machine("m-0")
+    waiting_job = waiting("job-1")
+    task, attempt = waiting_job.place(one.id, Session(1))
+    hold = Hold(task, attempt, spec, one.id, one.zone, Session(1), sent=True, answered_at=5)
+    one.shown_token, one.risk_token, one.checked = 7, 6, 6
+    assert not one.may_still_start(hold)
+    one.checked = 5
+    assert one.may_still_start(hold), "the answer with the start may be under way"
+    one.checked, one.risk_token = 6, 7
+    assert one.may_still_start(hold), "a direct start was lost under the present token"
+    one.risk_token, one.direct_in_flight = 6, True
+    assert one.may_still_start(hold)
+    hold.sent = False
+    assert not one.may_still_start(hold)
+
+
+def test_estimates_follow_what_jobs_took() -> None:
+    times = RunTimes()
+    spec = job("job-1", estimate_s=10.0)
+    assert times.estimate(spec) == 10.0
+    for _ in range(60):
+        times.learn(spec, 20.0)
+    assert 19.0 < times.estimate(spec) <= 20.0
