--- a/src/crosscleat/core/rounds.py
+++ b/src/crosscleat/core/rounds.py
@@ -131,7 +131,8 @@
             if job.spec.shape is Shape.GANG:
                 choices.extend(self._gang(job))
                 continue
-            if self._may(job, room):
+            # The pair may be stale: since it was found, its room or its team's quota went to others.
+            if self._may(job, room) and self._team_admits(job):
                 self._take(job, room)
                 choices.append(Choice(job.ref, room.machine.id))
             self._offer(heap, job, order)
