--- a/src/crosscleat/core/rounds.py
+++ b/src/crosscleat/core/rounds.py
@@ -131,7 +131,7 @@
             if job.spec.shape is Shape.GANG:
                 choices.extend(self._gang(job))
                 continue
-            # The pair may be stale: since it was found, its room or its team's quota went to others.
+            # The pair may be stale: its room or its team's quota may have gone to others.
             if self._may(job, room) and self._team_admits(job):
                 self._take(job, room)
                 choices.append(Choice(job.ref, room.machine.id))
