--- a/src/crosscleat/core/leader.py
+++ b/src/crosscleat/core/leader.py
@@ -74,6 +74,8 @@
 """Twice the 0.05% by which two steady clocks may differ, with a little to spare."""
 START_CONTACT_S = 3.0
 LAZY_S = 0.8
+LAZY_WRITES = 4
+ENDS_WRITES = 6
 LIST_S = 10.0
 SLOW_START_S = 2.0
 ROTATE_S = 3.0
@@ -845,14 +847,20 @@
             if machine.dropping and not machine.drop_recorded and batch.room(1):
                 batch.drops.append(machine)
                 batch.writes.append(Put(drop_key(machine.id), {"why": "returned"}))
-        for urgent in (True, False):
-            if not urgent and not lazy and not batch.writes:
-                break
-            for job in self.jobs.values():
-                if not job.settling:
-                    self._collect(batch, job, urgent)
+        # The region's few writes a second go to starts first, then to ends, which users poll for;
+        # what only spares a successor some work gets a little at a time.
+        jobs = sorted(self.jobs.values(), key=lambda job: -job.spec.priority)
+        for job in jobs:
+            self._collect_starts(batch, job)
+        batch.limit(ENDS_WRITES)
+        for job in jobs:
+            if job.over() and not job.settling and batch.room(3):
+                batch.end(job)
         if lazy:
             self._lazy_flush = now
+            batch.limit(LAZY_WRITES)
+            for job in jobs:
+                self._collect_progress(batch, job)
             while self._garbage and batch.room(1):
                 key, version = self._garbage.popleft()
                 batch.conditions[key] = version
@@ -860,14 +868,18 @@
         if batch.writes:
             self._write(batch)
 
-    def _collect(self, batch: Batch, job: Job, urgent: bool) -> None:
-        if job.over():
-            keys = [work_key(job.ref, s.number) for s in job.stretches.values() if s.version]
-            if urgent and batch.room(3) and job not in batch.ended:
-                batch.end(job, keys)
+    def _collect_starts(self, batch: Batch, job: Job) -> None:
+        if job.settling or job.over():
             return
         for stretch in job.stretches.values():
-            if stretch.dirty and stretch.urgent == urgent and batch.room(1):
+            if stretch.dirty and stretch.urgent and batch.room(1):
+                batch.record(job, stretch)
+
+    def _collect_progress(self, batch: Batch, job: Job) -> None:
+        if job.settling or job.over():
+            return
+        for stretch in job.stretches.values():
+            if stretch.dirty and batch.room(1):
                 batch.record(job, stretch)
 
     def _write(self, batch: Batch) -> None:
@@ -998,15 +1010,18 @@
         self.conditions[live_key(job.ref)] = job.version
         self.jobs.append(job)
 
-    def end(self, job: Job, work: list[str]) -> None:
+    def limit(self, more: int) -> None:
+        """From here on, only so many writes more."""
+        self._most = min(self._most, len(self.writes) + more)
+
+    def end(self, job: Job) -> None:
         self._compare_job(job)
-        self.writes.append(
-            Put(ended_key(job.ref), ended_record(job.spec.tasks, aborted=job.aborted))
-        )
+        record = ended_record(job.spec.tasks, aborted=job.aborted)
+        self.writes.append(Put(ended_key(job.ref), record))
         self.writes.append(Remove(live_key(job.ref)))
         for stretch in job.stretches.values():
-            key = work_key(job.ref, stretch.number)
-            if key in work and self.room(1):
+            if stretch.version and self.room(1):
+                key = work_key(job.ref, stretch.number)
                 self.conditions[key] = stretch.version
                 self.writes.append(Remove(key))
                 self.removed.add(key)
