--- a/src/crosscleat/core/leader.py
+++ b/src/crosscleat/core/leader.py
@@ -79,7 +79,8 @@
 LIST_S = 10.0
 SLOW_START_S = 2.0
 ROTATE_S = 3.0
-UNHEARD_S = 6.0
+LIST_WAIT_S = 2.0
+UNHEARD_S = 5.0
 """No machine at all was heard for so long: the fault is with us."""
 MOST_ORDERS = 300
 MOST_CHOICES = 48
@@ -579,10 +580,12 @@
         d = self.deployment
         machines = list(self.ledger.machines.values())
         silent_s = self.knobs.silence_leases * d.lease_s
-        up = [m for m in machines if m.up and not m.dropping]
-        silent = [m for m in up if now - m.last_heard > silent_s]
-        many = len(silent) > max(2, 0.4 * len(up))
-        if len(up) > 1 and all(now - m.last_heard > UNHEARD_S for m in up):
+        # Those given up for their silence still count: else each that is given up would make
+        # the rest look like fewer, and a leader that is cut off would give up one after another.
+        heard = [now - m.last_heard for m in machines if m.up and (not m.dropping or m.mute)]
+        quiet_s = 1.5 * d.report_s + 1.0
+        many = sum(1 for s in heard if s > quiet_s) > max(2, 0.4 * len(heard))
+        if len(heard) > 1 and min(heard) > UNHEARD_S:
             # They live or die by who answers them: let one lead whom they can reach.
             self.election.resign("no worker reaches us", rest_s=10.0)
             return
@@ -599,9 +602,12 @@
                 if now - machine.last_heard > silent_s and (
                     not many or now - machine.last_heard > 2.0 * d.cancel_s
                 ):
+                    machine.mute = True
                     self.drop(machine, f"silent for {now - machine.last_heard:.0f} s")
                 elif (machine.suspect or machine.recall_at is not None) and not machine.holds:
                     self.drop(machine, "drained")
+            elif machine.type is UNKNOWN_TYPE and now - machine.born > silent_s + LIST_WAIT_S:
+                self.drop(machine, "only on record, neither listed nor heard")
             elif now > max(machine.born + 4.0 * machine.type.boot_s + 20.0, self.began + silent_s):
                 self.drop(machine, "never came up")
 
--- a/src/crosscleat/core/placements.py
+++ b/src/crosscleat/core/placements.py
@@ -86,6 +86,8 @@
     full_until: Seconds = LONG_AGO
     dropping: bool = False
     """Its deletion is decided; nothing is placed on it again."""
+    mute: bool = False
+    """Its deletion was decided because nothing was heard of it."""
     drop_recorded: bool = False
     drop_version: Version = ABSENT
     delete_sent: Seconds | None = None
--- a/tests/test_isolated.py
+++ b/tests/test_isolated.py
@@ -63,6 +63,20 @@
     assert running(busy, "job-long") == 0
 
 
+def test_a_leader_that_hears_no_worker_resigns_and_deletes_none(busy: World) -> None:
+    old = leader_of(busy)
+    for worker in list(busy.workers):
+        busy.network.cut(old, worker, "hold")
+    for other in MEMBERS:
+        if other != old:
+            busy.network.cut(old, other, "hold")
+    before = {name for name, worker in busy.workers.items() if worker.gone}
+    busy.clock.advance(12.0)
+    assert leader_of(busy) != old
+    assert {name for name, worker in busy.workers.items() if worker.gone} == before
+    assert running(busy, "job-long") == 3
+
+
 def test_an_isolated_leader_renews_leases_for_a_while(busy: World) -> None:
     busy.cloud_down = True
     isolate(busy, leader_of(busy))
