Learn run times only from attempts of one's own term

Found in a debug log: a new leader took its takeover for the start of the tasks it inherited, noted them as late and learnt run times that were too short.

--- a/src/crosscleat/core/leader.py
+++ b/src/crosscleat/core/leader.py
@@ -351,7 +351,7 @@
         if task.state == reports.RUNNING and hold.running_since is None:
             hold.running_since = now
             waited = now - self._submitted(hold, now)
-            if waited > SLOW_START_S:
+            if waited > SLOW_START_S and hold.placed_at > self.began:
                 self.out.note(
                     "debug",
                     f"task {hold.task} ({hold.spec.job_class}) runs {waited:.1f} s after it was "
@@ -368,7 +368,8 @@
 
     def _exited(self, machine: Machine, hold: Hold, cause: str, now: Seconds) -> None:
         if cause == "done":
-            if hold.running_since is not None:
+            # When an attempt of an earlier term began to run is not known.
+            if hold.running_since is not None and hold.placed_at > self.began:
                 self.run_times.learn(hold.spec, now - hold.running_since)
             machine.errors.clear()
         self._gone(machine, hold, now, cause)
