Users' reads keep within their part of the store's requests

A flood of polls is answered 503 with Retry-After beyond 0.3 of the region's requests a controller, so that leases, watches and writes get through.

--- a/src/crosscleat/adapters/pacer.py
+++ b/src/crosscleat/adapters/pacer.py
@@ -21,6 +21,14 @@
         self._tokens = min(self._burst, self._tokens + (now - self._at) * self._rate)
         self._at = now
 
+    def spare(self, amount: float) -> bool:
+        """Use the amount if it is there now; a user is told to come back rather than kept."""
+        self._refill()
+        if self._tokens < amount:
+            return False
+        self._tokens -= amount
+        return True
+
     async def take(self, amount: float) -> None:
         """Wait until the amount may be used; large amounts go once the bucket is full."""
         needed = min(amount, self._burst)
--- a/src/crosscleat/adapters/state_client.py
+++ b/src/crosscleat/adapters/state_client.py
@@ -44,6 +44,8 @@
 MOST_BYTES = 48_000
 REFUSED = (429, 503)
 DOWN_AFTER = 3
+READ_SHARE = 0.3
+"""One controller's part of the region's requests for its users' reads: three leave a tenth."""
 WRITE_SHARE = 0.7
 """One controller's part of the region's write allowance: mostly the leader writes."""
 
@@ -58,6 +60,7 @@
         self,
         session: aiohttp.ClientSession,
         address: str,
+        rps: float,
         write_rps: float,
         txn_ops: int,
         rng: Random,
@@ -65,6 +68,7 @@
         self._session = session
         self._base = f"http://{address}"
         self._rng = rng
+        self._reads = Pacer(rps * READ_SHARE)
         self._writes = Pacer(write_rps * WRITE_SHARE)
         self._failures = 0
         self._probe_at = 0.0
@@ -124,7 +128,7 @@
     # Reads
 
     async def read(self, call: Read) -> Found | None:
-        if self._down():
+        if call.for_user and (self._down() or not self._reads.spare(1.0)):
             return None
         response = await self._call("GET", f"/kv/{quote(call.key)}", None, call.patience_s)
         if response is None:
--- a/src/crosscleat/app.py
+++ b/src/crosscleat/app.py
@@ -65,6 +65,7 @@
         self._state = StateClient(
             session,
             settings.endpoints.state,
+            params.state.rps,
             params.state.write_rps,
             params.state.txn_ops,
             self._rng,
--- a/src/crosscleat/core/effects.py
+++ b/src/crosscleat/core/effects.py
@@ -92,6 +92,7 @@
     key: str
     then: Callable[[Found | None], None]
     patience_s: float = 1.5
+    for_user: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/crosscleat/core/front.py
+++ b/src/crosscleat/core/front.py
@@ -98,7 +98,7 @@
         if ref in self._ended:
             self._answer_ended(request, ref)
         else:
-            self._out.add(Read(live_key(ref), live))
+            self._out.add(Read(live_key(ref), live, for_user=True))
 
     def _look_ended(self, request: int, ref: JobRef, unknown: int) -> None:
         def ended(found: Found | None) -> None:
@@ -110,7 +110,7 @@
                 self._remember(ref, found.item.value)
                 self._answer_ended(request, ref)
 
-        self._out.add(Read(ended_key(ref), ended))
+        self._out.add(Read(ended_key(ref), ended, for_user=True))
 
     def _live_body(self, item: Item) -> Record:
         ref = item.value["spec"][0]
@@ -155,7 +155,7 @@
         if ref in self._ended:
             self._answer_ended(request, ref)
         else:
-            self._out.add(Read(live_key(ref), live))
+            self._out.add(Read(live_key(ref), live, for_user=True))
 
     def _cancel(self, request: int, ref: JobRef, item: Item, tries: int) -> None:
         record = live_record(spec_of(item.value), WallTime(item.value["at"]), aborted=True)
