Count a machine's image room; remove what nothing used

Found by reading the code as a stranger: the size of a machine's image room was read and never used, so an image dropped by the worker still counted as there.

--- a/src/crosscleat/core/effects.py
+++ b/src/crosscleat/core/effects.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from .ids import LeaseId, Member, Session, Token, Version
+from .ids import LeaseId, Session, Token, Version
 
 Record = Any
 """Plain data as the store keeps it: maps, lists, text, numbers."""
@@ -268,11 +268,3 @@
     def take(self) -> list[Effect]:
         effects, self.effects = self.effects, []
         return effects
-
-
-@dataclass(frozen=True, slots=True)
-class Followed:
-    """Who leads, as last seen in the store."""
-
-    member: Member
-    token: Token
--- a/src/crosscleat/core/jobs.py
+++ b/src/crosscleat/core/jobs.py
@@ -89,7 +89,6 @@
     spec: JobSpec
     version: Version
     submitted: Seconds
-    submitted_wall: WallTime
     aborted: bool = False
     done: bytearray = field(default_factory=bytearray)
     done_count: int = 0
--- a/src/crosscleat/core/leader.py
+++ b/src/crosscleat/core/leader.py
@@ -164,7 +164,7 @@
     def _load_job(self, item: Item, work: list[Item], now: Seconds) -> None:
         wall = WallTime(item.value["at"])
         submitted = Seconds(min(now, wall - self._wall_offset))
-        job = Job(spec_of(item.value), item.version, submitted, wall)
+        job = Job(spec_of(item.value), item.version, submitted)
         for stretch in work:
             job.load_work(stretch)
         job.loaded()
@@ -358,9 +358,8 @@
                     f"submitted, {now - hold.placed_at:.1f} s after attempt {hold.attempt} was "
                     f"placed on {machine.id}",
                 )
-            machine.images[hold.spec.image] = min(
-                now, machine.images.get(hold.spec.image, Seconds(now))
-            )
+            machine.use_image(hold.spec.image, hold.spec.image_gb, now)
+            machine.images[hold.spec.image] = min(now, machine.images[hold.spec.image])
 
     def _submitted(self, hold: Hold, now: Seconds) -> Seconds:
         job = self.jobs.get(hold.task.job)
@@ -744,10 +743,9 @@
             task, attempt, spec, machine.id, machine.zone, machine.seen.session, placed_at=now
         )
         self.ledger.add(machine, hold)
-        if spec.image not in machine.images:
-            last = max(machine.images.values(), default=now)
-            ready = max(now, last) + fetch_time(job, machine.type)
-            machine.images[spec.image] = Seconds(ready)
+        last = max(machine.images.values(), default=now)
+        ready = Seconds(max(now, last) + fetch_time(job, machine.type))
+        machine.use_image(spec.image, spec.image_gb, ready)
 
     # Renting
 
--- a/src/crosscleat/core/model.py
+++ b/src/crosscleat/core/model.py
@@ -127,7 +127,6 @@
     cancel_s: float
     value_kb: float
     txn_ops: int
-    peers: tuple[str, ...] = ()
     knobs: Knobs = field(default_factory=Knobs)
 
     def class_limits(self, kind: str, job_class: str) -> tuple[float, ...]:
--- a/src/crosscleat/core/placements.py
+++ b/src/crosscleat/core/placements.py
@@ -52,7 +52,6 @@
     withdrawn: bool = False
     """It is to go: no start is sent any more, and a stop when it is listed."""
     grace_s: float = 0.0
-    stop_sent: Seconds | None = None
     answered_at: int = 0
     """Tally of the last check-in whose answer carried its start."""
     sent: bool = False
@@ -92,7 +91,8 @@
     drop_version: Version = ABSENT
     delete_sent: Seconds | None = None
     images: dict[str, Seconds] = field(default_factory=dict)
-    """Images it should have, and from when on."""
+    """Images it should have, and from when on; the one used last comes last."""
+    image_gb: dict[str, float] = field(default_factory=dict)
     holds: dict[AttemptKey, Hold] = field(default_factory=dict)
     exited: dict[AttemptKey, str] = field(default_factory=dict)
     """Attempts that the newest report lists as exited."""
@@ -112,6 +112,17 @@
             and self.used_gpus + job.gpus <= self.type.gpus + 1e-9
         )
 
+    def use_image(self, image: str, size_gb: float, ready: Seconds) -> None:
+        """A task is to use the image: it is there, or will be then, and others make room."""
+        self.images[image] = self.images.pop(image, ready)
+        self.image_gb[image] = size_gb
+        wanted = {hold.spec.image for hold in self.holds.values()}
+        for old in list(self.images):
+            if sum(self.image_gb.values()) <= self.type.cache_gb or old == image:
+                break
+            if old not in wanted:
+                del self.images[old], self.image_gb[old]
+
     def allowed(self, job: JobSpec) -> bool:
         return (
             (job.types is None or self.type.name in job.types)
--- a/src/crosscleat/settings.py
+++ b/src/crosscleat/settings.py
@@ -62,12 +62,9 @@
 
 class CloudSettings(msgspec.Struct):
     rps: Positive
-    list_lag_s: Amount = 0.0
 
 
 class Resources(msgspec.Struct):
-    cores: Positive = 1.0
-    ram_mb: Positive = 256.0
     max_sockets: Annotated[int, Meta(ge=16)] = 1000
 
 
@@ -103,7 +100,6 @@
             cancel_s=params.workers.cancel_s,
             value_kb=params.state.value_kb,
             txn_ops=params.state.txn_ops,
-            peers=tuple(peer.member for peer in self.peers),
             knobs=knobs,
         )
 
--- a/tests/test_isolated.py
+++ b/tests/test_isolated.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from crosscleat.core.ids import Team, Version
+from crosscleat.core.ids import MachineId, Seconds, Session, Team, Version
 from crosscleat.core.jobs import Job, live_key
 from crosscleat.core.leader import Batch
 from crosscleat.core.model import Priority
@@ -104,8 +104,8 @@
 
 
 def test_a_placement_is_void_once_the_job_is_cancelled_or_the_leader_replaced() -> None:
-    held = Job(job("job-1", priority=Priority.HIGH), Version(7), *(0.0, 0.0))  # type: ignore[arg-type]
-    held.place("m-1", 1)  # type: ignore[arg-type]
+    held = Job(job("job-1", priority=Priority.HIGH), Version(7), Seconds(0.0))
+    held.place(MachineId("m-1"), Session(1))
     batch = Batch(41, 8, 16.0)
     batch.record(held, held.stretch_of(0))
     assert batch.conditions["leader"] == 41
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -46,7 +46,7 @@
         WallTime(0.0),
     )
     spec = job("job-1", tasks=1, estimate_s=100.0)
-    before = Job(spec, Version(3), Seconds(0.0), WallTime(0.0))
+    before = Job(spec, Version(3), Seconds(0.0))
     before.place(MachineId("m-0"), Session(1))
     live = Item(live_key(spec.ref), live_record(spec, WallTime(-40.0), aborted=False), Version(3))
     work = Item(work_key(spec.ref, 0), before.work_record(before.stretch_of(0)), Version(4))
--- a/tests/test_rounds.py
+++ b/tests/test_rounds.py
@@ -18,7 +18,6 @@
     Session,
     Team,
     Version,
-    WallTime,
     Zone,
 )
 from crosscleat.core.jobs import STRETCH, Job, work_key
@@ -33,7 +32,7 @@
 
 
 def waiting(ref: str, **changes: Any) -> Job:
-    return Job(job(ref, **changes), Version(1), NOW, WallTime(0.0))
+    return Job(job(ref, **changes), Version(1), NOW)
 
 
 def machine(name: str, kind: int = 1, zone: str = "a", spot: bool = True) -> Machine:
@@ -169,3 +168,10 @@
     for _ in range(60):
         times.learn(spec, 20.0)
     assert 19.0 < times.estimate(spec) <= 20.0
+
+
+def test_a_machine_forgets_the_images_used_longest_ago() -> None:
+    one = machine("m-0")
+    for image, size in (("a", 8.0), ("b", 8.0), ("a", 8.0), ("c", 8.0)):
+        one.use_image(Image(image), size, NOW)
+    assert list(one.images) == ["a", "c"], "20 GB hold two of them"
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -71,7 +71,7 @@
     raw["unknown"] = {"x": 1}
     raw["settings"]["workers"]["unknown"] = 3
     found = parse(raw, "file").deployment(Knobs())
-    assert found.peers == ("n-1",)
+    assert found.cancel_s == 44.0
     assert found.class_limits("wait", "a") == (2.0, 12.0)
     assert found.class_limits("finished", "a") == ()
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -100,7 +100,6 @@
         cancel_s=CANCEL_S,
         value_kb=16.0,
         txn_ops=8,
-        peers=tuple(m for m in MEMBERS if m != member),
         knobs=Knobs(headroom=0.1, idle_return_s=8.0),
     )
 
