A long list of unknown machine types no longer makes a job too large to store; log names the member

Found by reading: a valid submission near 64 KiB would have been a value over value_kb, answered 503 for ever. Every log line now carries the member, also those of the clients.

--- a/src/crosscleat/app.py
+++ b/src/crosscleat/app.py
@@ -163,7 +163,7 @@
         if log.isEnabledFor(level):
             election = self._controller.election
             role = f"leader {election.token}" if election.leading else "follower"
-            log.log(level, "%s (%s): %s", self._settings.member, role, note.text)
+            log.log(level, "(%s) %s", role, note.text)
 
     # Requests
 
@@ -233,5 +233,5 @@
 
 def run(settings: Settings, knobs: Knobs) -> None:
     signal.signal(signal.SIGINT, signal.SIG_DFL)
-    log.info("%s in %s listens on %s", settings.member, settings.zone, settings.listen)
+    log.info("in %s, listens on %s", settings.zone, settings.listen)
     asyncio.run(_main(settings, knobs))
--- a/src/crosscleat/cli.py
+++ b/src/crosscleat/cli.py
@@ -91,7 +91,9 @@
         print(f"{given.config}: ok, {settings.member} with {len(settings.peers)} peers")
         return 0
     logging.basicConfig(
-        level=LEVELS[level], format="%(levelname).1s %(name)s %(message)s", stream=sys.stderr
+        level=LEVELS[level],
+        format=f"%(levelname).1s {settings.member} %(name)s %(message)s",
+        stream=sys.stderr,
     )
     # Only now: a check needs neither the event loop nor the HTTP library.
     from .app import run
--- a/src/crosscleat/core/front.py
+++ b/src/crosscleat/core/front.py
@@ -4,6 +4,8 @@
 
 from collections import OrderedDict
 
+import msgspec
+
 from .effects import (
     Answer,
     Commit,
@@ -46,6 +48,10 @@
         if refusal is not None:
             self.refuse(request, spec.ref, refusal)
             return
+        if spec.types is not None:
+            # A long list of types that do not exist must not make the record too large to store.
+            known = tuple(name for name in self._types if name in spec.types)
+            spec = msgspec.structs.replace(spec, types=known)
         conditions = (
             (live_key(spec.ref), ABSENT),
             (ended_key(spec.ref), ABSENT),
