One way to collect records, to find a hold and to reckon with store contact

Read once more: two loops that differed in one condition, the lookup of a placement's hold written three times, the time without contact worked out twice, and a job's set-aside flag that nothing else read.

--- a/src/crosscleat/core/jobs.py
+++ b/src/crosscleat/core/jobs.py
@@ -101,7 +101,6 @@
     failed_on: set[MachineId] = field(default_factory=set)
     succeeded: bool = False
     stretches: dict[int, Stretch] = field(default_factory=dict)
-    set_aside: bool = False
     settling: bool = False
     """Its end is being written, or its live record changed under a write of ours."""
 
--- a/src/crosscleat/core/leader.py
+++ b/src/crosscleat/core/leader.py
@@ -53,6 +53,7 @@
 from .jobs import (
     STRETCH,
     Job,
+    Placement,
     Stretch,
     ended_key,
     ended_record,
@@ -198,23 +199,25 @@
     def _enter(self, machine: Machine, now: Seconds) -> None:
         machine.born = machine.last_heard = now
         machine.risk_token = self.began_token - 1
-        machine.last_answer = Seconds(self.began + self._others_renew_s())
+        # An earlier leader's last contact was before our election.
+        machine.last_answer = Seconds(self.began + self._renew_s() * DRIFT)
         self.ledger.machines[machine.id] = machine
 
-    def _others_renew_s(self) -> float:
-        """For how long after our election an earlier leader may go on renewing leases."""
+    def _renew_s(self) -> float:
+        """For how long after its last contact with the store a leader renews leases."""
         d = self.deployment
-        return max(0.0, d.cancel_s - d.lease_s - MARGIN_S) * DRIFT
+        return max(0.0, d.cancel_s - d.lease_s - MARGIN_S)
+
+    def _contact(self) -> Seconds:
+        """When the store last confirmed that we lead and told us of all cancellations."""
+        return min(self.election.contact, self.watched)
 
     def renew_until(self) -> Seconds:
         """No lease is renewed later: a cancellation accepted elsewhere must still hold."""
-        d = self.deployment
-        contact = min(self.election.contact, self.watched)
-        return Seconds(contact + max(0.0, d.cancel_s - d.lease_s - MARGIN_S) / DRIFT)
+        return Seconds(self._contact() + self._renew_s() / DRIFT)
 
     def may_start(self, now: Seconds) -> bool:
-        contact = min(self.election.contact, self.watched)
-        return self.election.leading and now - contact <= START_CONTACT_S
+        return self.election.leading and now - self._contact() <= START_CONTACT_S
 
     # Jobs as users change them
 
@@ -413,10 +416,14 @@
     def _holds_of(self, job: Job) -> Iterator[tuple[Machine, Hold]]:
         for stretch in job.stretches.values():
             for index, placed in list(stretch.placed.items()):
-                machine = self.ledger.machines.get(placed.machine)
-                hold = machine and machine.holds.get((TaskId(job.ref, index), placed.attempt))
-                if machine and hold:
-                    yield machine, hold
+                found = self._hold_of(job, index, placed)
+                if found is not None:
+                    yield found
+
+    def _hold_of(self, job: Job, index: int, placed: Placement) -> tuple[Machine, Hold] | None:
+        machine = self.ledger.machines.get(placed.machine)
+        hold = machine and machine.holds.get((TaskId(job.ref, index), placed.attempt))
+        return (machine, hold) if machine and hold else None
 
     def _blamed(self, machine: Machine) -> bool:
         """Whether several jobs failed on it, leaving out those that fail wherever they are."""
@@ -863,7 +870,7 @@
         # what only spares a successor some work gets a little at a time.
         jobs = sorted(self.jobs.values(), key=lambda job: -job.spec.priority)
         for job in jobs:
-            self._collect_starts(batch, job)
+            self._collect(batch, job, urgent_only=True)
         batch.limit(ENDS_WRITES)
         for job in jobs:
             if job.over() and not job.settling and batch.room(3):
@@ -872,7 +879,7 @@
             self._lazy_flush = now
             batch.limit(LAZY_WRITES)
             for job in jobs:
-                self._collect_progress(batch, job)
+                self._collect(batch, job, urgent_only=False)
             while self._garbage and batch.room(1):
                 key, version = self._garbage.popleft()
                 batch.conditions[key] = version
@@ -880,18 +887,11 @@
         if batch.writes:
             self._write(batch)
 
-    def _collect_starts(self, batch: Batch, job: Job) -> None:
-        if job.settling or job.over():
-            return
-        for stretch in job.stretches.values():
-            if stretch.dirty and stretch.urgent and batch.room(1):
-                batch.record(job, stretch)
-
-    def _collect_progress(self, batch: Batch, job: Job) -> None:
+    def _collect(self, batch: Batch, job: Job, urgent_only: bool) -> None:
         if job.settling or job.over():
             return
         for stretch in job.stretches.values():
-            if stretch.dirty and batch.room(1):
+            if stretch.dirty and (stretch.urgent or not urgent_only) and batch.room(1):
                 batch.record(job, stretch)
 
     def _write(self, batch: Batch) -> None:
@@ -931,16 +931,15 @@
         for job, stretch, recorded in batch.stretches:
             stretch.version = revision
             stretch.recorded = recorded
-            for index, attempt in recorded:
-                placed = stretch.placed.get(index)
-                if placed is None or placed.attempt != attempt:
+            for index, placed in stretch.placed.items():
+                found = self._hold_of(job, index, placed)
+                if found is None or (index, placed.attempt) not in recorded:
                     continue
-                machine_ = self.ledger.machines.get(placed.machine)
-                hold = machine_ and machine_.holds.get((TaskId(job.ref, index), attempt))
-                if hold and not hold.recorded:
+                machine, hold = found
+                if not hold.recorded:
                     hold.recorded = True
                     if not hold.withdrawn:
-                        self._kick.add(placed.machine)
+                        self._kick.add(machine.id)
         for job in batch.ended:
             del self.jobs[job.ref]
             self._progress_sent.pop(job.ref, None)
--- a/src/crosscleat/core/rounds.py
+++ b/src/crosscleat/core/rounds.py
@@ -104,8 +104,7 @@
         heap: list[tuple[float, float, int, Job, Room]] = []
         order = 0
         for job in waiting:
-            job.set_aside = self._best_utility(job) < self._threshold
-            if job.set_aside:
+            if self._best_utility(job) < self._threshold:
                 aside.append(job)
                 continue
             order += 1
