--- /dev/null
+++ b/src/crosscleat/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, timers and other processes round the core."""
--- /dev/null
+++ b/src/crosscleat/adapters/http_server.py
@@ -0,0 +1,119 @@
+"""The HTTP side that users, workers and the load balancer see."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+
+import msgspec
+from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
+
+from ..core.controller import Abort, Poll, Refuse, Submit
+from ..core.effects import Answer
+from ..core.ids import JobRef, is_job_ref
+from ..core.model import JobSpec
+from ..wire import users as wire
+
+BODY_S = 5.0
+WORK = "/work/"
+ABORT = "/abort"
+
+log = logging.getLogger("crosscleat.http")
+
+UserInput = Submit | Poll | Abort | Refuse
+Ask = Callable[[Callable[[int], UserInput]], Awaitable[Answer | None]]
+CheckIn = Callable[[bytes], Awaitable[tuple[int, bytes]]]
+
+_encoder = msgspec.msgpack.Encoder()
+
+
+class HttpServer:
+    """One door for all: it tells requests apart, bounds them, and asks the controller."""
+
+    def __init__(self, ask: Ask, check_in: CheckIn, ready: Callable[[], bool]) -> None:
+        self._ask = ask
+        self._check_in = check_in
+        self._ready = ready
+        self._server = web.Server(self._handle, access_log=None)
+
+    async def start(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        await loop.create_server(self._protocol, host, int(port), backlog=512)
+
+    def _protocol(self) -> RequestHandler:
+        return self._server()
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        path = request.path
+        method = request.method
+        if path == "/checkin" and method == "POST":
+            body = await _body(request)
+            if body is None:
+                return _closing(400)
+            status, answer = await self._check_in(body)
+            return web.Response(status=status, body=answer)
+        if path.startswith(WORK):
+            return await self._job(request, method, path.removeprefix(WORK))
+        if path == "/work" and method == "POST":
+            body = await _body(request)
+            if body is None:
+                return _closing(400)
+            return await self._submit(body)
+        if path == "/ready" and method == "GET":
+            return web.Response(status=200 if self._ready() else 503)
+        return _closing(404)
+
+    async def _submit(self, body: bytes) -> web.Response:
+        parsed = wire.parse_work(body)
+        if isinstance(parsed, JobSpec):
+            spec = parsed
+            return await self._answer(lambda number: Submit(number, spec))
+        ref = parsed
+        return await self._answer(lambda number: Refuse(number, ref, 400))
+
+    async def _job(self, request: web.BaseRequest, method: str, name: str) -> web.Response:
+        if method == "GET" and is_job_ref(name):
+            return await self._answer(lambda number: Poll(number, JobRef(name)))
+        if method == "POST" and name.endswith(ABORT):
+            if await _body(request) is None:
+                return _closing(400)
+            ref = name.removesuffix(ABORT)
+            if is_job_ref(ref):
+                return await self._answer(lambda number: Abort(number, JobRef(ref)))
+        return web.Response(status=404)
+
+    async def _answer(self, make: Callable[[int], UserInput]) -> web.Response:
+        answer = await self._ask(make)
+        if answer is None:
+            return web.Response(status=503, headers={"Retry-After": "1"})
+        headers = {}
+        if answer.retry_after_s is not None:
+            headers["Retry-After"] = str(answer.retry_after_s)
+        body = b"" if answer.body is None else _encoder.encode(answer.body)
+        return web.Response(status=answer.status, body=body, headers=headers)
+
+
+def _closing(status: int) -> web.Response:
+    """An answer after which the connection is closed, since its request was not read to the end."""
+    response = web.Response(status=status)
+    response.force_close()
+    return response
+
+
+async def _body(request: web.BaseRequest) -> bytes | None:
+    """The request's body, unless it is too long or comes too slowly."""
+    if (request.content_length or 0) > wire.MOST_BYTES:
+        return None
+    chunks = bytearray()
+    try:
+        async with asyncio.timeout(BODY_S):
+            async for chunk in request.content.iter_any():
+                chunks += chunk
+                if len(chunks) > wire.MOST_BYTES:
+                    return None
+    except TimeoutError:
+        return None
+    return bytes(chunks)
--- /dev/null
+++ b/src/crosscleat/adapters/peer_link.py
@@ -0,0 +1,164 @@
+"""Links between controllers: one TCP connection opened to each of the others."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from random import Random
+
+import msgspec
+
+from ..wire import peers as wire
+from .clock import steady
+
+PING_S = 1.5
+DEAD_S = 5.0
+CONNECT_S = 2.0
+RELAY_S = 2.5
+MOST_BUFFERED = 1 << 20
+
+log = logging.getLogger("crosscleat.peers")
+
+Answered = tuple[int, bytes]
+Handler = Callable[[bytes], Awaitable[Answered]]
+
+
+class Link:
+    """Our connection to one other controller: relays go out, answers and counts come in."""
+
+    def __init__(self, member: str, peer: str, address: str, rng: Random) -> None:
+        self._member = member
+        self.peer = peer
+        host, _, port = address.rpartition(":")
+        self._host, self._port = host, int(port)
+        self._rng = rng
+        self._writer: asyncio.StreamWriter | None = None
+        self._waiting: dict[int, asyncio.Future[Answered | None]] = {}
+        self._number = 0
+
+    @property
+    def up(self) -> bool:
+        return self._writer is not None
+
+    def send(self, message: wire.Message) -> bool:
+        writer = self._writer
+        if writer is None or writer.transport.get_write_buffer_size() > MOST_BUFFERED:
+            return False
+        writer.write(wire.frame(message))
+        return True
+
+    async def relay(self, body: bytes) -> Answered | None:
+        """The other controller's answer to a worker's check-in."""
+        self._number += 1
+        number = self._number
+        future: asyncio.Future[Answered | None] = asyncio.get_running_loop().create_future()
+        self._waiting[number] = future
+        try:
+            if not self.send(wire.Relay(number, body)):
+                return None
+            async with asyncio.timeout(RELAY_S):
+                return await future
+        except TimeoutError:
+            return None
+        finally:
+            del self._waiting[number]
+
+    async def run(self) -> None:
+        while True:
+            await self._connect()
+            await asyncio.sleep(0.3 + 0.4 * self._rng.random())
+
+    async def _connect(self) -> None:
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                reader, writer = await asyncio.open_connection(self._host, self._port)
+        except (OSError, TimeoutError):
+            return
+        writer.write(wire.frame(wire.Hello(self._member)))
+        self._writer = writer
+        pinger = asyncio.create_task(self._ping())
+        try:
+            while True:
+                async with asyncio.timeout(DEAD_S):
+                    message = await _receive(reader)
+                if isinstance(message, wire.Relayed):
+                    future = self._waiting.get(message.number)
+                    if future is not None and not future.done():
+                        future.set_result((message.status, message.body))
+        except (OSError, EOFError, TimeoutError, ValueError) as error:
+            log.debug("link to %s: %s", self.peer, error or type(error).__name__)
+        finally:
+            pinger.cancel()
+            self._writer = None
+            writer.transport.abort()
+            for future in self._waiting.values():
+                if not future.done():
+                    future.set_result(None)
+
+    async def _ping(self) -> None:
+        while True:
+            await asyncio.sleep(PING_S)
+            self.send(wire.Ping())
+
+
+class PeerServer:
+    """Takes the others' links: answers their relays and hears the leader's counts."""
+
+    def __init__(
+        self, peers: set[str], check_in: Handler, counts: Callable[[wire.Counts], None]
+    ) -> None:
+        self._peers = peers
+        self._check_in = check_in
+        self._counts = counts
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._scolded: set[str] = set()
+
+    async def start(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        await asyncio.start_server(self._serve, host, int(port))
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        peer = "unknown peer"
+        try:
+            async with asyncio.timeout(DEAD_S):
+                hello = await _receive(reader)
+            if not isinstance(hello, wire.Hello) or hello.member not in self._peers:
+                raise ValueError("no greeting")
+            peer = hello.member
+            while True:
+                async with asyncio.timeout(DEAD_S):
+                    message = await _receive(reader)
+                if isinstance(message, wire.Relay):
+                    task = asyncio.create_task(self._answer(message, writer))
+                    self._tasks.add(task)
+                    task.add_done_callback(self._tasks.discard)
+                elif isinstance(message, wire.Counts):
+                    self._counts(message)
+                elif isinstance(message, wire.Ping):
+                    writer.write(wire.frame(wire.Ping()))
+        except ValueError as error:
+            if peer not in self._scolded:
+                self._scolded.add(peer)
+                log.error("%s sends what no controller sends: %s", peer, error)
+        except (OSError, EOFError, TimeoutError) as error:
+            log.debug("link from %s: %s", peer, error or type(error).__name__)
+        finally:
+            writer.transport.abort()
+
+    async def _answer(self, relay: wire.Relay, writer: asyncio.StreamWriter) -> None:
+        arrived = steady()
+        status, body = await self._check_in(relay.body)
+        # Later than this nobody waits for it any more.
+        if steady() - arrived < RELAY_S and not writer.is_closing():
+            writer.write(wire.frame(wire.Relayed(relay.number, status, body)))
+
+
+async def _receive(reader: asyncio.StreamReader) -> wire.Message:
+    size = int.from_bytes(await reader.readexactly(4), "big")
+    if size > wire.MOST_FRAME:
+        raise ValueError(f"frame of {size} bytes")
+    try:
+        return wire.parse(await reader.readexactly(size))
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise ValueError(str(error)) from error
--- /dev/null
+++ b/src/crosscleat/adapters/worker_client.py
@@ -0,0 +1,45 @@
+"""Orders sent straight to a worker."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+import aiohttp
+
+from ..core.effects import Direct
+from ..core.reports import Report
+from ..wire import workers as wire
+
+CONNECT_S = 0.8
+TIMEOUT_S = 2.0
+
+log = logging.getLogger("crosscleat.workers")
+
+_NEVER_SENT = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+"""A connection attempt that is given up does not complete afterwards."""
+
+
+class WorkerClient:
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+        self._timeout = aiohttp.ClientTimeout(sock_connect=CONNECT_S)
+
+    async def direct(self, call: Direct) -> tuple[Report | None, bool]:
+        """The worker's report; and, without one, whether the orders may still be executed."""
+        body = wire.direct(call.token, call.session, call.orders)
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                async with self._session.post(
+                    f"http://{call.address}/do", data=body, timeout=self._timeout
+                ) as response:
+                    answer = await response.read()
+                    if response.status not in (200, 409):
+                        return None, response.status >= 500
+        except _NEVER_SENT as error:
+            log.debug("%s: not reached (%s)", call.address, error)
+            return None, False
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            log.debug("%s: no answer (%s)", call.address, error or type(error).__name__)
+            return None, True
+        return wire.parse_check_in(answer), True
--- /dev/null
+++ b/src/crosscleat/app.py
@@ -0,0 +1,227 @@
+"""Puts the core and the adapters together: carries inputs in and effects out."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import os
+import signal
+from collections.abc import Awaitable, Callable, Coroutine
+from random import Random
+from typing import Any
+
+import aiohttp
+
+from .adapters import clock
+from .adapters.cloud_client import CloudClient
+from .adapters.http_server import HttpServer, UserInput
+from .adapters.peer_link import Link, PeerServer
+from .adapters.state_client import StateClient
+from .adapters.worker_client import WorkerClient
+from .core.controller import Began, CheckIn, Completed, Controller, Input, Progress, Tick
+from .core.effects import (
+    Answer,
+    Commit,
+    DeleteMachines,
+    Direct,
+    Effect,
+    Grant,
+    Later,
+    ListMachines,
+    ListTypes,
+    Note,
+    Orders,
+    Read,
+    Rent,
+    Revoke,
+    Scan,
+    Tell,
+    Touch,
+    Watch,
+)
+from .core.model import Knobs
+from .settings import Settings
+from .wire import peers as peer_wire
+from .wire import workers as worker_wire
+
+TICK_S = 0.1
+USER_S = 4.0
+NOT_NOW = (503, b"")
+
+log = logging.getLogger("crosscleat")
+
+
+class App:
+    def __init__(self, settings: Settings, knobs: Knobs, session: aiohttp.ClientSession) -> None:
+        params = settings.settings
+        self._settings = settings
+        self._rng = Random(os.urandom(16))
+        boot = f"{self._rng.getrandbits(64):016x}"
+        self._controller = Controller(settings.deployment(knobs), boot, self._rng)
+        self._state = StateClient(
+            session,
+            settings.endpoints.state,
+            params.state.write_rps,
+            params.state.txn_ops,
+            self._rng,
+        )
+        self._cloud = CloudClient(session, settings.endpoints.cloud)
+        self._workers = WorkerClient(session)
+        self._links = {
+            peer.member: Link(settings.member, peer.member, peer.endpoint, self._rng)
+            for peer in settings.peers
+        }
+        self._requests: dict[int, asyncio.Future[Answer | Orders]] = {}
+        self._number = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._carriers: dict[type[Any], Callable[[Any], Awaitable[Any]]] = {
+            Commit: self._state.commit,
+            Read: self._state.read,
+            Scan: self._state.scan,
+            Watch: self._state.watch,
+            Grant: self._state.grant,
+            Touch: self._state.touch,
+            Rent: self._cloud.rent,
+            DeleteMachines: self._cloud.delete,
+            ListTypes: lambda _: self._cloud.types(),
+            ListMachines: lambda _: self._cloud.machines(),
+        }
+
+    async def run(self) -> None:
+        peers = PeerServer(set(self._links), self._answer_relay, self._counts)
+        server = HttpServer(self._ask, self._check_in, lambda: True)
+        await peers.start(self._settings.peer_bind)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._state.run())
+            for link in self._links.values():
+                group.create_task(link.run())
+            self._step(Began())
+            await server.start(self._settings.listen)
+            # What was imported stays: the collector need not look at it again.
+            gc.collect()
+            gc.freeze()
+            gc.set_threshold(20_000, 20, 50)
+            while True:
+                await asyncio.sleep(TICK_S)
+                self._step(Tick())
+
+    # Inputs and effects
+
+    def _step(self, given: Input) -> None:
+        for effect in self._controller.step(given, clock.steady(), clock.wall()):
+            self._carry_out(effect)
+
+    def _carry_out(self, effect: Effect) -> None:
+        match effect:
+            case Answer() | Orders():
+                future = self._requests.pop(effect.request, None)
+                if future is not None and not future.done():
+                    future.set_result(effect)
+            case Note():
+                self._note(effect)
+            case Later():
+                loop = asyncio.get_running_loop()
+                loop.call_later(effect.delay_s, self._step, Completed(effect.then))
+            case Tell():
+                for link in self._links.values():
+                    link.send(peer_wire.Counts(effect.message))
+            case Revoke():
+                self._spawn(self._state.revoke(effect))
+            case Direct():
+                self._spawn(self._direct(effect))
+            case _:
+                self._spawn(self._call(effect))
+
+    async def _call(self, call: Any) -> None:
+        result = await self._carriers[type(call)](call)
+        self._step(Completed(call.then, (result,)))
+
+    async def _direct(self, call: Direct) -> None:
+        report, perhaps = await self._workers.direct(call)
+        self._step(Completed(call.then, (report, perhaps)))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._done)
+
+    def _done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error("a call failed", exc_info=task.exception())
+
+    def _note(self, note: Note) -> None:
+        level = logging.INFO if note.level == "info" else logging.DEBUG
+        if log.isEnabledFor(level):
+            election = self._controller.election
+            role = f"leader {election.token}" if election.leading else "follower"
+            log.log(level, "%s (%s): %s", self._settings.member, role, note.text)
+
+    # Requests
+
+    async def _wait(self, make: Callable[[int], Input], timeout_s: float) -> Answer | Orders | None:
+        self._number += 1
+        number = self._number
+        future: asyncio.Future[Answer | Orders] = asyncio.get_running_loop().create_future()
+        self._requests[number] = future
+        self._step(make(number))
+        if future.done():
+            return future.result()
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await future
+        except TimeoutError:
+            return None
+        finally:
+            self._requests.pop(number, None)
+
+    async def _ask(self, make: Callable[[int], UserInput]) -> Answer | None:
+        answer = await self._wait(make, USER_S)
+        return answer if isinstance(answer, Answer) else None
+
+    async def _check_in(self, body: bytes) -> tuple[int, bytes]:
+        """A worker's check-in at this controller: ours to answer, or the leader's."""
+        if self._controller.leader is not None:
+            return await self._answer_check_in(body)
+        leader = self._controller.election.leader
+        link = self._links.get(leader) if leader is not None else None
+        if link is None or not link.up:
+            return NOT_NOW
+        return await link.relay(body) or NOT_NOW
+
+    async def _answer_relay(self, body: bytes) -> tuple[int, bytes]:
+        """A check-in that another controller passed on: never passed on again."""
+        if self._controller.leader is None:
+            return NOT_NOW
+        return await self._answer_check_in(body)
+
+    async def _answer_check_in(self, body: bytes) -> tuple[int, bytes]:
+        report = worker_wire.parse_check_in(body)
+        if report is None:
+            return 400, b""
+        answer = await self._wait(lambda number: CheckIn(number, report), 1.0)
+        if isinstance(answer, Orders):
+            return 200, worker_wire.answer(answer.token, answer.orders)
+        return NOT_NOW
+
+    def _counts(self, counts: peer_wire.Counts) -> None:
+        self._step(Progress(counts.jobs))
+
+
+async def _main(settings: Settings, knobs: Knobs) -> None:
+    most = settings.settings.resources.max_sockets
+    connector = aiohttp.TCPConnector(limit=max(8, most // 4), use_dns_cache=False)
+    async with aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
+        cookie_jar=aiohttp.DummyCookieJar(),
+    ) as session:
+        await App(settings, knobs, session).run()
+
+
+def run(settings: Settings, knobs: Knobs) -> None:
+    signal.signal(signal.SIGINT, signal.SIG_DFL)
+    log.info("%s in %s listens on %s", settings.member, settings.zone, settings.listen)
+    asyncio.run(_main(settings, knobs))
--- /dev/null
+++ b/src/crosscleat/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without input or output: every module here is plain state and functions."""
--- /dev/null
+++ b/src/crosscleat/core/controller.py
@@ -0,0 +1,254 @@
+"""The controller: one state machine.
+
+`step` takes an input and returns what to send, write and answer.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+from .effects import (
+    Answer,
+    Effect,
+    Item,
+    Later,
+    Listing,
+    ListTypes,
+    News,
+    Outbox,
+    Scan,
+    Tell,
+    Watch,
+)
+from .election import Election
+from .front import Front
+from .ids import LONG_AGO, JobRef, Member, Seconds, Token, TypeName, Version, WallTime
+from .jobs import LIVE, WORK
+from .leader import DROP, Leader
+from .model import Deployment, JobSpec, MachineType
+from .reports import Report
+
+PROGRESS_S = 1.0
+TYPES_S = 60.0
+WATCH_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class Began:
+    """The process is up."""
+
+
+@dataclass(frozen=True, slots=True)
+class Completed:
+    """A call's result, or the end of a delay: run its continuation."""
+
+    then: Callable[..., None]
+    results: tuple[Any, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Submit:
+    request: int
+    spec: JobSpec
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """A submission that is malformed, with its job's name if that much is readable."""
+
+    request: int
+    ref: JobRef | None
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class Poll:
+    request: int
+    ref: JobRef
+
+
+@dataclass(frozen=True, slots=True)
+class Abort:
+    request: int
+    ref: JobRef
+
+
+@dataclass(frozen=True, slots=True)
+class CheckIn:
+    """A worker's report, received here or relayed by another controller."""
+
+    request: int
+    report: Report
+
+
+@dataclass(frozen=True, slots=True)
+class Progress:
+    """The leader's counts of done and running tasks, for display."""
+
+    counts: dict[str, tuple[int, int]]
+
+
+Input = Tick | Began | Completed | Submit | Refuse | Poll | Abort | CheckIn | Progress
+
+
+class Controller:
+    def __init__(self, deployment: Deployment, boot: str, rng: Random) -> None:
+        self.deployment = deployment
+        self._rng = rng
+        self._out = Outbox()
+        self._now = LONG_AGO
+        self._wall = WallTime(0.0)
+        self._types: dict[TypeName, MachineType] = {}
+        self._types_asked = False
+        self._types_at = LONG_AGO
+        self._progress_at = LONG_AGO
+        self.front = Front(deployment, self._out, self._types)
+        self.leader: Leader | None = None
+        self.election = Election(
+            Member(deployment.member),
+            boot,
+            self._out,
+            rng,
+            lambda: self._now,
+            lambda delay, then: self._out.add(Later(delay, then)),
+            self._elected,
+            self._lost,
+        )
+
+    def step(self, given: Input, now: Seconds, wall: WallTime) -> list[Effect]:
+        self._now, self._wall = now, wall
+        if self.leader is not None:
+            self.leader.now = now
+        match given:
+            case Completed(then, results):
+                then(*results)
+            case CheckIn(request, report):
+                if self.leader is not None:
+                    self.leader.check_in(request, report, now)
+                else:
+                    self._out.add(Answer(request, 503, retry_after_s=1))
+            case Poll(request, ref):
+                self.front.poll(request, ref)
+            case Submit(request, spec):
+                self.front.submit(request, spec, wall)
+            case Refuse(request, ref, status):
+                self.front.refuse(request, ref, status)
+            case Abort(request, ref):
+                self.front.abort(request, ref)
+            case Progress(counts):
+                self.front.progress.update(counts)
+            case Tick():
+                self._tick()
+            case Began():
+                self.election.begin()
+                self._ask_types()
+        if self.leader is not None:
+            self.leader.settle(now)
+        return self._out.take()
+
+    def _tick(self) -> None:
+        now = self._now
+        if not self._types_asked and now >= self._types_at:
+            self._ask_types()
+        if self.leader is None:
+            return
+        self.leader.tick(now)
+        if self.leader is not None and now >= self._progress_at:
+            self._progress_at = Seconds(now + PROGRESS_S)
+            counts = self.leader.progress()
+            if counts:
+                self.front.progress.update(counts)
+                self._out.add(Tell(counts))
+
+    def _ask_types(self) -> None:
+        self._types_asked = True
+
+        def listed(kinds: list[MachineType] | None) -> None:
+            self._types_asked = False
+            self._types_at = Seconds(self._now + (TYPES_S if kinds else 0.5))
+            if kinds:
+                # Prices move: machines that are up refer to their type's object, so renew those.
+                self._types.update({kind.name: kind for kind in kinds})
+                if self.leader is not None:
+                    self.leader.types_changed()
+
+        self._out.add(ListTypes(listed))
+
+    # Terms
+
+    def _elected(self, token: Token) -> None:
+        self._out.note("info", f"elected, token {token}")
+        self._scan(token, (LIVE, WORK, DROP), [])
+
+    def _scan(self, token: Token, prefixes: tuple[str, ...], found: list[Listing]) -> None:
+        """Read what the new term starts from; ended jobs are not read."""
+
+        def scanned(listing: Listing | None) -> None:
+            if self.election.token != token:
+                return
+            if listing is None:
+                self._scan(token, prefixes, found)
+                return
+            found.append(listing)
+            if prefixes[1:]:
+                self._scan(token, prefixes[1:], found)
+            else:
+                self._lead(token, found)
+
+        self._out.add(Scan(prefixes[0], scanned))
+
+    def _lead(self, token: Token, found: list[Listing]) -> None:
+        live, work, drops = found
+        leader = Leader(
+            self.deployment, self.election, self._out, self._rng, self._types, self._now, self._wall
+        )
+        leader.load(live.items, work.items, drops.items, self._now)
+        self.leader = leader
+        self._out.note("info", f"leading with {len(leader.jobs)} jobs")
+        self._watch(leader, live.revision)
+
+    def _watch(self, leader: Leader, after: Version) -> None:
+        opened = self._now
+
+        def heard(news: News | None) -> None:
+            if leader.retired:
+                return
+            if news is None:
+                self._out.add(Later(0.2, lambda: self._watch(leader, after)))
+            elif news.lost:
+                self._reread(leader)
+            else:
+                leader.watched = max(leader.watched, opened)
+                changes: list[Item] = [c for c in news.changes if c.key.startswith(LIVE)]
+                if changes:
+                    leader.live_news(changes, self._now)
+                self._watch(leader, max(after, news.revision))
+
+        if not leader.retired:
+            self._out.add(Watch(LIVE, after, WATCH_S, heard))
+
+    def _reread(self, leader: Leader) -> None:
+        def scanned(listing: Listing | None) -> None:
+            if leader.retired:
+                return
+            if listing is None:
+                self._reread(leader)
+                return
+            leader.live_news(listing.items, self._now)
+            self._watch(leader, listing.revision)
+
+        self._out.add(Scan(LIVE, scanned))
+
+    def _lost(self, why: str) -> None:
+        self._out.note("info", f"no longer leading: {why}")
+        if self.leader is not None:
+            self.leader.retired = True
+            self.leader = None
--- /dev/null
+++ b/src/crosscleat/core/election.py
@@ -0,0 +1,204 @@
+"""Who leads: one key in the store under a lease; its version is the token.
+
+Taking the key over, rotating it and every leader's write are conditional on its version,
+so a leader that lost it can change nothing, whatever it still believes.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+from .effects import (
+    Commit,
+    Committed,
+    Conflict,
+    Found,
+    Grant,
+    News,
+    NoSuchLease,
+    Outbox,
+    Put,
+    Read,
+    Revoke,
+    Touch,
+    Watch,
+)
+from .ids import ABSENT, LONG_AGO, LeaseId, Member, Seconds, Token, Version
+
+LEADER = "leader"
+LIFE_S = 4.0
+RENEW_S = 1.0
+WATCH_S = 4.0
+
+
+class Election:
+    def __init__(
+        self,
+        member: Member,
+        boot: str,
+        out: Outbox,
+        rng: Random,
+        clock: Callable[[], Seconds],
+        later: Callable[[float, Callable[[], None]], None],
+        elected: Callable[[Token], None],
+        lost: Callable[[str], None],
+    ) -> None:
+        self._member = member
+        self._boot = boot
+        self._out = out
+        self._rng = rng
+        self._clock = clock
+        self._later = later
+        self._elected = elected
+        self._lost = lost
+        self._lease: LeaseId | None = None
+        self._epoch = 0
+        self.token: Token | None = None
+        """Our token while we lead."""
+        self.leader: Member | None = None
+        self.contact = LONG_AGO
+        """When the renewal that last confirmed our leadership was sent."""
+
+    @property
+    def leading(self) -> bool:
+        return self.token is not None
+
+    def begin(self) -> None:
+        epoch = self._epoch
+        self._out.add(Read(LEADER, lambda found: self._looked(epoch, found)))
+
+    def _looked(self, epoch: int, found: Found | None) -> None:
+        if epoch != self._epoch:
+            return
+        if found is None:
+            self._later(0.3 + 0.4 * self._rng.random(), self._again(epoch))
+        elif found.item is None:
+            self.leader = None
+            self._stand(epoch)
+        else:
+            self.leader = Member(found.item.value["member"])
+            if self.leader == self._member:
+                # An earlier process of ours holds it. Nobody else may use that token, and it
+                # knows of no command sent: take it over at once with a new one.
+                self._stand(epoch, found.item.version)
+            else:
+                self._watch(epoch, found.revision)
+
+    def _again(self, epoch: int) -> Callable[[], None]:
+        return lambda: self.begin() if epoch == self._epoch else None
+
+    def _watch(self, epoch: int, after: Version) -> None:
+        self._out.add(Watch(LEADER, after, WATCH_S, lambda news: self._heard(epoch, after, news)))
+
+    def _heard(self, epoch: int, after: Version, news: News | None) -> None:
+        if epoch != self._epoch:
+            return
+        if news is None or news.lost:
+            self._later(0.2 + 0.3 * self._rng.random(), self._again(epoch))
+            return
+        mine = [change for change in news.changes if change.key == LEADER]
+        if not mine:
+            self._watch(epoch, max(after, news.revision))
+        elif mine[-1].version == 0:
+            self.leader = None
+            # Not all at the same instant: the store counts failed transactions too.
+            self._later(0.05 * self._rng.random(), self._again(epoch))
+        else:
+            self.leader = Member(mine[-1].value["member"])
+            self._watch(epoch, news.revision)
+
+    def _stand(self, epoch: int, version: Version = ABSENT) -> None:
+        self._out.add(Grant(LIFE_S, lambda lease: self._granted(epoch, version, lease)))
+
+    def _granted(self, epoch: int, version: Version, lease: LeaseId | None) -> None:
+        if epoch != self._epoch:
+            return
+        if lease is None:
+            self._later(0.3 + 0.4 * self._rng.random(), self._again(epoch))
+            return
+        self._lease = lease
+        sent = self._clock()
+        self._out.add(
+            Commit(
+                ((LEADER, version),),
+                (Put(LEADER, self._record(), lease),),
+                lambda result: self._decided(epoch, lease, sent, result),
+            )
+        )
+
+    def _record(self) -> dict[str, str]:
+        return {"member": self._member, "boot": self._boot}
+
+    def _decided(
+        self,
+        epoch: int,
+        lease: LeaseId,
+        sent: Seconds,
+        result: Committed | Conflict | NoSuchLease | None,
+    ) -> None:
+        if epoch != self._epoch:
+            return
+        if not isinstance(result, Committed):
+            # Perhaps it was carried out, or will be: without its lease the key goes away.
+            self._out.add(Revoke(lease))
+            self._lease = None
+            self._later(0.1 + 0.2 * self._rng.random(), self._again(epoch))
+            return
+        self.token = Token(result.revision)
+        self.leader = self._member
+        self.contact = sent
+        self._later(RENEW_S, lambda: self._renew(epoch))
+        self._elected(self.token)
+
+    def _renew(self, epoch: int) -> None:
+        if epoch != self._epoch or self._lease is None:
+            return
+        sent = self._clock()
+        self._out.add(Touch(self._lease, lambda alive: self._renewed(epoch, sent, alive)))
+
+    def _renewed(self, epoch: int, sent: Seconds, alive: bool | None) -> None:
+        if epoch != self._epoch:
+            return
+        if alive is False:
+            self.resign("its lease has ended")
+            return
+        if alive:
+            self.contact = max(self.contact, sent)
+        self._later(RENEW_S if alive else 0.4, lambda: self._renew(epoch))
+
+    def rotation(self) -> Commit | None:
+        """The transaction that gives the key, and so us, a higher token."""
+        if self.token is None or self._lease is None:
+            return None
+        epoch = self._epoch
+        return Commit(
+            ((LEADER, Version(self.token)),),
+            (Put(LEADER, self._record(), self._lease),),
+            lambda result: self._rotated(epoch, result),
+        )
+
+    def _rotated(self, epoch: int, result: Committed | Conflict | NoSuchLease | None) -> None:
+        if epoch != self._epoch:
+            return
+        if isinstance(result, Committed):
+            self.token = Token(result.revision)
+        else:
+            self.resign("the token could not be rotated")
+
+    def resign(self, why: str, rest_s: float = 0.3) -> None:
+        """Stop leading; what we sent stays accounted for by the next leader's higher token.
+
+        `rest_s` is how long we leave the key to others before we look at it again.
+        """
+        self._epoch += 1
+        if self._lease is not None:
+            self._out.add(Revoke(self._lease))
+            self._lease = None
+        was = self.token
+        self.token = None
+        self.leader = None
+        epoch = self._epoch
+        if was is not None:
+            self._lost(why)
+        self._later(rest_s + 0.5 * self._rng.random(), self._again(epoch))
--- /dev/null
+++ b/src/crosscleat/core/fleet.py
@@ -0,0 +1,214 @@
+"""Which machines to rent and which to return."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from .ids import LONG_AGO, Seconds, TypeName, Zone
+from .jobs import Job
+from .model import Knobs, MachineType, Priority, TeamLimits
+from .placements import Machine
+from .rounds import troubled, within
+
+MOST_PER_RENTAL = 50
+WINDOW_S = 120.0
+
+
+@dataclass(frozen=True, slots=True)
+class PoolKey:
+    type: TypeName
+    zone: Zone
+    spot: bool
+
+
+@dataclass(slots=True)
+class Pool:
+    refused_until: Seconds = LONG_AGO
+    backoff_s: float = 8.0
+
+    def refuse(self, now: Seconds) -> None:
+        self.refused_until = Seconds(now + self.backoff_s)
+        self.backoff_s = min(60.0, self.backoff_s * 1.7)
+
+    def granted(self) -> None:
+        self.backoff_s = 8.0
+
+
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    pool: PoolKey
+    count: int
+
+
+class Demand:
+    """CPUs asked for over the last while: what the warm room is sized by."""
+
+    def __init__(self) -> None:
+        self._samples: deque[tuple[Seconds, float]] = deque()
+        self._urgent: deque[tuple[Seconds, float]] = deque()
+
+    def sample(self, cpus: float, now: Seconds) -> None:
+        self._samples.append((now, cpus))
+        while now - self._samples[0][0] > WINDOW_S:
+            self._samples.popleft()
+
+    def arrived(self, job: Job, now: Seconds) -> None:
+        if job.spec.priority >= Priority.HIGH:
+            self._urgent.append((now, job.spec.cpus * job.spec.tasks))
+        while self._urgent and now - self._urgent[0][0] > WINDOW_S:
+            self._urgent.popleft()
+
+    def mean(self) -> float:
+        return sum(c for _, c in self._samples) / len(self._samples) if self._samples else 0.0
+
+    def spread(self) -> float:
+        mean = self.mean()
+        if len(self._samples) < 2:
+            return 0.0
+        return math.sqrt(sum((c - mean) ** 2 for _, c in self._samples) / len(self._samples))
+
+    def urgent_job(self) -> float:
+        """CPUs that most urgent jobs ask for at once."""
+        sizes = sorted(cpus for _, cpus in self._urgent)
+        return sizes[int(len(sizes) * 0.8)] if sizes else 0.0
+
+
+class Fleet:
+    """Rents and returns; holds what is known of pools, whose capacity nobody publishes."""
+
+    def __init__(self, knobs: Knobs) -> None:
+        self._knobs = knobs
+        self._pools: dict[PoolKey, Pool] = {}
+        self.types: dict[TypeName, MachineType] = {}
+        self.demand = Demand()
+
+    def pool(self, key: PoolKey) -> Pool:
+        return self._pools.setdefault(key, Pool())
+
+    def target_cpus(self, current: float) -> float:
+        """Room to keep: present demand or its usual level, plus headroom for what arrives."""
+        usual = self.demand.mean() + 0.5 * self.demand.spread()
+        return max(current, usual) + max(
+            self._knobs.headroom * self.demand.mean(), self.demand.urgent_job()
+        )
+
+    def wanted(
+        self,
+        jobs: Iterable[Job],
+        teams: dict[str, TeamLimits],
+        team_cpus: dict[str, float],
+        machines: Iterable[Machine],
+        now: Seconds,
+    ) -> Wanted | None:
+        """The one batch to rent now, if any."""
+        waiting = sorted(
+            (job for job in jobs if job.waiting_count() > 0 and not troubled(job)),
+            key=lambda job: (-job.spec.priority, job.submitted),
+        )
+        usable = [m for m in machines if not (m.dropping or m.suspect or m.recall_at is not None)]
+        free = {m.id: [m.type.cpus - m.used_cpus, m.type.memory_gb - m.used_memory] for m in usable}
+        used = dict(team_cpus)
+        current = sum(team_cpus.values())
+        short: Job | None = None
+        short_tasks = 0
+        for job in waiting:
+            spec = job.spec
+            limit = teams[spec.team].cpus_max if spec.team in teams else 0.0
+            for _ in range(min(job.waiting_count(), 400)):
+                if not within(used.get(spec.team, 0.0) + spec.cpus, limit):
+                    break
+                used[spec.team] = used.get(spec.team, 0.0) + spec.cpus
+                current += spec.cpus
+                home = next(
+                    (
+                        m
+                        for m in usable
+                        if free[m.id][0] + 1e-9 >= spec.cpus
+                        and free[m.id][1] + 1e-9 >= spec.memory_gb
+                        and m.allowed(spec)
+                    ),
+                    None,
+                )
+                if home is not None:
+                    free[home.id][0] -= spec.cpus
+                    free[home.id][1] -= spec.memory_gb
+                elif short is None:
+                    short, short_tasks = job, 1
+                elif short.ref == job.ref:
+                    short_tasks += 1
+        self.demand.sample(current, now)
+        if short is not None:
+            found = self._pick(short, short_tasks, now)
+            if found is not None:
+                return found
+        capacity = sum(m.type.cpus for m in usable)
+        lacking = self.target_cpus(current) - capacity
+        if lacking <= 0:
+            return None
+        return self._cheapest(lacking, now)
+
+    def _pick(self, job: Job, tasks: int, now: Seconds) -> Wanted | None:
+        """The cheapest way to house tasks that no rented machine can start."""
+        spec = job.spec
+        best: tuple[float, float, PoolKey, int] | None = None
+        for kind in self.types.values():
+            if not kind.holds(spec):
+                continue
+            per = int(
+                min(
+                    kind.cpus / spec.cpus if spec.cpus > 0 else MOST_PER_RENTAL,
+                    kind.memory_gb / spec.memory_gb if spec.memory_gb > 0 else MOST_PER_RENTAL,
+                    kind.gpus / spec.gpus if spec.gpus > 0 else MOST_PER_RENTAL,
+                )
+                + 1e-9
+            )
+            per = max(1, per)
+            for key in self._open(kind, now):
+                if (key.spot and not spec.spot) or (spec.zone not in (None, key.zone)):
+                    continue
+                cost = kind.price_for(key.spot) / per
+                count = min(MOST_PER_RENTAL, math.ceil(tasks / per))
+                rank = (cost, kind.cpus, key, count)
+                if best is None or rank[:2] < best[:2]:
+                    best = rank
+        return Wanted(best[2], best[3]) if best else None
+
+    def _cheapest(self, cpus: float, now: Seconds) -> Wanted | None:
+        options = [
+            (kind.price_for(key.spot) / max(kind.cpus, 1e-9), kind.cpus, key)
+            for kind in self.types.values()
+            if kind.cpus <= 2.0 * cpus
+            for key in self._open(kind, now)
+        ]
+        if not options:
+            return None
+        _, size, key = min(options, key=lambda option: option[:2])
+        return Wanted(key, min(MOST_PER_RENTAL, max(1, int(cpus / size))))
+
+    def _open(self, kind: MachineType, now: Seconds) -> list[PoolKey]:
+        keys = [PoolKey(kind.name, zone, spot) for zone in kind.zones for spot in (True, False)]
+        return [key for key in keys if self.pool(key).refused_until <= now]
+
+    def returnable(
+        self, machines: Iterable[Machine], current: float, now: Seconds
+    ) -> list[Machine]:
+        """Idle machines that the warm room does not need, the dearest first."""
+        usable = [m for m in machines if m.up and not m.dropping]
+        spare = sum(m.type.cpus for m in usable) - self.target_cpus(current)
+        idle = sorted(
+            (
+                m
+                for m in usable
+                if m.idle_since is not None and now - m.idle_since >= self._knobs.idle_return_s
+            ),
+            key=lambda m: -m.type.price_for(m.spot) / max(m.type.cpus, 1e-9),
+        )
+        found = []
+        for machine in idle:
+            if machine.type.cpus <= spare:
+                spare -= machine.type.cpus
+                found.append(machine)
+        return found
--- /dev/null
+++ b/src/crosscleat/core/ids.py
@@ -0,0 +1,61 @@
+"""Small types for names, versions and times, so that none is mistaken for another."""
+
+from __future__ import annotations
+
+import re
+from typing import NamedTuple, NewType
+
+JobRef = NewType("JobRef", str)
+MachineId = NewType("MachineId", str)
+TypeName = NewType("TypeName", str)
+Zone = NewType("Zone", str)
+Team = NewType("Team", str)
+Image = NewType("Image", str)
+Member = NewType("Member", str)
+
+Version = NewType("Version", int)
+"""Revision of a key's last change in the store; 0 means that the key does not exist."""
+Token = NewType("Token", int)
+"""Version of the leader key: the higher one is entitled to command."""
+Attempt = NewType("Attempt", int)
+Session = NewType("Session", int)
+LeaseId = NewType("LeaseId", int)
+
+Seconds = NewType("Seconds", float)
+"""A point on, or a stretch of, this process's steady clock."""
+WallTime = NewType("WallTime", float)
+
+_JOB_REF = re.compile(r"job-[0-9A-Za-z._-]{1,120}\Z")
+
+
+class TaskId(NamedTuple):
+    """One task of a job; written `job-000412/3` outside."""
+
+    job: JobRef
+    number: int
+
+    def __str__(self) -> str:
+        return f"{self.job}/{self.number}"
+
+    @classmethod
+    def parse(cls, text: str) -> TaskId | None:
+        job, slash, number = text.rpartition("/")
+        if not slash or not number.isascii() or not number.isdigit() or not is_job_ref(job):
+            return None
+        return cls(JobRef(job), int(number))
+
+
+class Seen(NamedTuple):
+    """Age of a worker's message: the larger one is newer."""
+
+    session: Session
+    tally: int
+
+
+NEVER = Seen(Session(0), 0)
+LONG_AGO = Seconds(0.0)
+ABSENT = Version(0)
+
+
+def is_job_ref(text: str) -> bool:
+    return _JOB_REF.match(text) is not None
--- /dev/null
+++ b/src/crosscleat/core/jobs.py
@@ -0,0 +1,252 @@
+"""Jobs as the leader holds them, and the records that keep jobs in the store.
+
+`live/<ref>` holds the spec and whether its user cancelled it, `ended/<ref>` the final
+outcome, and `work/<ref>/<n>` the tasks of one stretch: which are done, and which attempt
+of the others may be on which machine.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from .effects import Item, Record
+from .ids import (
+    ABSENT,
+    Attempt,
+    JobRef,
+    MachineId,
+    Seconds,
+    Session,
+    TaskId,
+    Version,
+    WallTime,
+)
+from .model import JobSpec
+
+LIVE = "live/"
+ENDED = "ended/"
+WORK = "work/"
+STRETCH = 200
+"""Tasks in one record: at some 30 bytes each it stays well below the smallest value limit."""
+
+
+def live_key(ref: JobRef) -> str:
+    return LIVE + ref
+
+
+def ended_key(ref: JobRef) -> str:
+    return ENDED + ref
+
+
+def work_key(ref: JobRef, stretch: int) -> str:
+    return f"{WORK}{ref}/{stretch}"
+
+
+def parse_work_key(key: str) -> tuple[JobRef, int]:
+    ref, _, stretch = key.removeprefix(WORK).rpartition("/")
+    return JobRef(ref), int(stretch)
+
+
+def live_record(spec: JobSpec, submitted: WallTime, aborted: bool) -> Record:
+    return {"spec": msgspec.to_builtins(spec), "at": submitted, "aborted": aborted}
+
+
+def spec_of(record: Record) -> JobSpec:
+    return msgspec.convert(record["spec"], JobSpec)
+
+
+def ended_record(tasks: int, aborted: bool) -> Record:
+    return {"tasks": tasks, "aborted": aborted}
+
+
+@dataclass(slots=True)
+class Placement:
+    attempt: Attempt
+    machine: MachineId
+    session: Session
+
+
+@dataclass(slots=True)
+class Stretch:
+    """Up to STRETCH consecutive tasks, kept in one record."""
+
+    number: int
+    version: Version = ABSENT
+    placed: dict[int, Placement] = field(default_factory=dict)
+    tries: dict[int, Attempt] = field(default_factory=dict)
+    recorded: frozenset[tuple[int, Attempt]] = frozenset()
+    """The attempts that the stored record says may be on a machine."""
+    dirty: bool = False
+    urgent: bool = False
+
+
+@dataclass(slots=True)
+class Job:
+    spec: JobSpec
+    version: Version
+    submitted: Seconds
+    submitted_wall: WallTime
+    aborted: bool = False
+    done: bytearray = field(default_factory=bytearray)
+    done_count: int = 0
+    fresh: int = 0
+    """Tasks from here on have never been tried."""
+    again: list[int] = field(default_factory=list)
+    resting: list[tuple[Seconds, int]] = field(default_factory=list)
+    """Tasks that failed and wait before they are tried again."""
+    failures: dict[int, int] = field(default_factory=dict)
+    failed_on: set[MachineId] = field(default_factory=set)
+    succeeded: bool = False
+    stretches: dict[int, Stretch] = field(default_factory=dict)
+    set_aside: bool = False
+    settling: bool = False
+    """Its end is being written, or its live record changed under a write of ours."""
+
+    def __post_init__(self) -> None:
+        if not self.done:
+            self.done = bytearray(self.spec.tasks)
+
+    @property
+    def ref(self) -> JobRef:
+        return self.spec.ref
+
+    def stretch_of(self, index: int) -> Stretch:
+        number = index // STRETCH
+        stretch = self.stretches.get(number)
+        if stretch is None:
+            stretch = self.stretches[number] = Stretch(number)
+        return stretch
+
+    def waiting_count(self) -> int:
+        return self.spec.tasks - self.fresh + len(self.again)
+
+    def placed_count(self) -> int:
+        return sum(len(s.placed) for s in self.stretches.values())
+
+    def wake(self, now: Seconds) -> None:
+        while self.resting and self.resting[0][0] <= now:
+            self.again.append(heapq.heappop(self.resting)[1])
+
+    def peek(self) -> int | None:
+        """The task to place next."""
+        if self.again:
+            return self.again[-1]
+        return self.fresh if self.fresh < self.spec.tasks else None
+
+    def place(self, machine: MachineId, session: Session) -> tuple[TaskId, Attempt]:
+        """Take the next task and enter its new attempt, to be recorded before it is sent."""
+        if self.again:
+            index = self.again.pop()
+        else:
+            index = self.fresh
+            self.fresh += 1
+        stretch = self.stretch_of(index)
+        attempt = Attempt(stretch.tries.get(index, 0) + 1)
+        stretch.tries[index] = attempt
+        stretch.placed[index] = Placement(attempt, machine, session)
+        stretch.dirty = stretch.urgent = True
+        return TaskId(self.ref, index), attempt
+
+    def is_current(self, index: int, attempt: Attempt) -> bool:
+        if index // STRETCH not in self.stretches:
+            return False
+        placement = self.stretch_of(index).placed.get(index)
+        return placement is not None and placement.attempt == attempt
+
+    def finish(self, index: int) -> None:
+        """The task's current attempt completed."""
+        stretch = self.stretch_of(index)
+        stretch.placed.pop(index, None)
+        stretch.tries.pop(index, None)
+        stretch.dirty = True
+        if not self.done[index]:
+            self.done[index] = 1
+            self.done_count += 1
+        self.failures.pop(index, None)
+        self.succeeded = True
+
+    def requeue(self, index: int, not_before: Seconds | None) -> None:
+        """The task's current attempt is proven gone without result."""
+        stretch = self.stretch_of(index)
+        stretch.placed.pop(index, None)
+        stretch.dirty = True
+        if not_before is None:
+            self.again.append(index)
+        else:
+            heapq.heappush(self.resting, (not_before, index))
+
+    def work_record(self, stretch: Stretch) -> Record:
+        first = stretch.number * STRETCH
+        last = min(first + STRETCH, self.spec.tasks)
+        rows: list[list[int | str]] = []
+        for index, attempt in sorted(stretch.tries.items()):
+            placement = stretch.placed.get(index)
+            if placement is None:
+                rows.append([index, attempt])
+            else:
+                rows.append([index, attempt, placement.machine, placement.session])
+        return {"done": _ranges(self.done, first, last), "tries": rows}
+
+    def load_work(self, item: Item) -> None:
+        """Take over a stretch as an earlier leader left it."""
+        _, number = parse_work_key(item.key)
+        stretch = Stretch(number, version=item.version)
+        self.stretches[number] = stretch
+        for start, end in item.value["done"]:
+            for index in range(start, end):
+                self.done[index] = 1
+        for row in item.value["tries"]:
+            index, attempt = row[0], Attempt(row[1])
+            stretch.tries[index] = attempt
+            if len(row) > 2:
+                placement = Placement(attempt, MachineId(row[2]), Session(row[3]))
+                stretch.placed[index] = placement
+        stretch.recorded = frozenset((i, p.attempt) for i, p in stretch.placed.items())
+
+    def loaded(self) -> None:
+        """All stretches are in: work out what waits."""
+        self.done_count = sum(self.done)
+        reached = (max(self.stretches) + 1) * STRETCH if self.stretches else 0
+        self.fresh = min(reached, self.spec.tasks)
+        self.again = [
+            index
+            for index in range(self.fresh - 1, -1, -1)
+            if not self.done[index] and not self.is_placed(index)
+        ]
+
+    def is_placed(self, index: int) -> bool:
+        stretch = self.stretches.get(index // STRETCH)
+        return stretch is not None and index in stretch.placed
+
+    @property
+    def complete(self) -> bool:
+        return self.done_count >= self.spec.tasks
+
+    def over(self) -> bool:
+        """Nothing more can happen to any task of it."""
+        if self.complete:
+            return True
+        return self.aborted and self.placed_count() == 0
+
+
+def _ranges(flags: bytearray, first: int, last: int) -> list[list[int]]:
+    found: list[list[int]] = []
+    index = flags.find(1, first, last)
+    while index >= 0:
+        end = flags.find(0, index, last)
+        if end < 0:
+            end = last
+        found.append([index, end])
+        index = flags.find(1, end, last)
+    return found
+
+
+def group_work(items: Iterable[Item]) -> dict[JobRef, list[Item]]:
+    grouped: dict[JobRef, list[Item]] = {}
+    for item in items:
+        grouped.setdefault(parse_work_key(item.key)[0], []).append(item)
+    return grouped
--- /dev/null
+++ b/src/crosscleat/core/leader.py
@@ -0,0 +1,984 @@
+"""What the leading controller knows and decides: jobs, machines, placements and their records.
+
+Writes go out one transaction at a time, so that the versions they compare are known and a
+transaction without an answer is settled before the next: it is repeated until it is
+answered, and a conflict that could stem from our own earlier try ends this leadership.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Iterable
+from random import Random
+
+from . import reports
+from .budget import Budget
+from .effects import (
+    Answer,
+    ClearOrder,
+    Commit,
+    Committed,
+    Conflict,
+    DeleteMachines,
+    Direct,
+    Found,
+    Item,
+    ListMachines,
+    NoSuchLease,
+    Order,
+    Orders,
+    Outbox,
+    Put,
+    Read,
+    Remove,
+    Rent,
+    StartOrder,
+    StopOrder,
+)
+from .election import LEADER, Election
+from .fleet import Fleet, PoolKey, Wanted
+from .ids import (
+    Attempt,
+    JobRef,
+    MachineId,
+    Seconds,
+    TaskId,
+    TypeName,
+    Version,
+    WallTime,
+    Zone,
+)
+from .jobs import (
+    STRETCH,
+    Job,
+    Stretch,
+    ended_key,
+    ended_record,
+    group_work,
+    live_key,
+    spec_of,
+    work_key,
+)
+from .model import Deployment, MachineType
+from .placements import AttemptKey, Hold, Ledger, Machine
+from .reports import ListedMachine, Report, TaskReport
+from .rounds import Round, fetch_time, within
+from .scoring import RunTimes, Scorer
+
+DROP = "drop/"
+MARGIN_S = 1.5
+"""Kept free of cancel_s for messages and timers."""
+DRIFT = 1.001
+"""Twice the 0.05% by which two steady clocks may differ, with a little to spare."""
+START_CONTACT_S = 3.0
+LAZY_S = 0.8
+LIST_S = 10.0
+ROTATE_S = 3.0
+UNHEARD_S = 6.0
+"""No machine at all was heard for so long: the fault is with us."""
+MOST_ORDERS = 300
+MOST_CHOICES = 48
+SUSPECT_JOBS = 2
+TOMBSTONE_S = 900.0
+DROP_KEPT_S = 120.0
+UNKNOWN_TYPE = MachineType(TypeName(""), 0.0, 0.0, 0.0, 0.0, 1.0, 0.0, 0.0, 0.0, ())
+
+
+def drop_key(machine: MachineId) -> str:
+    return DROP + machine
+
+
+class Leader:
+    def __init__(
+        self,
+        deployment: Deployment,
+        election: Election,
+        out: Outbox,
+        rng: Random,
+        types: dict[TypeName, MachineType],
+        now: Seconds,
+        wall: WallTime,
+    ) -> None:
+        self.deployment = deployment
+        self.knobs = deployment.knobs
+        self.election = election
+        self.out = out
+        self.rng = rng
+        self.now = now
+        self.began = now
+        self.began_token = election.token or 0
+        self._wall_offset = wall - now
+        self.jobs: dict[JobRef, Job] = {}
+        self.ledger = Ledger()
+        self.fleet = Fleet(deployment.knobs)
+        self.fleet.types = types
+        self.run_times = RunTimes()
+        self.scorer = Scorer(deployment, self.run_times)
+        self.watched = now
+        """When the watch that last answered was opened: no cancellation before it is unknown."""
+        self.tombstones: dict[MachineId, Seconds] = {}
+        """Machines that are gone, and since when: old reports of them may still arrive."""
+        self._garbage: deque[tuple[str, Version]] = deque()
+        self._drops_done: deque[tuple[Seconds, str, Version]] = deque()
+        self._writing = False
+        self.retired = False
+        """Another term has begun or none: late answers must not act for this one."""
+        self._lazy_flush = now
+        self._kick: set[MachineId] = set()
+        self._changed = True
+        self._round_at = now
+        self._full_round_at = now
+        self._renting = False
+        self._rent_number = 0
+        self._rent_at = now
+        self._listing = False
+        self._list_at = now
+        self._rotate_wanted = False
+        self._rotated_at = now
+        self._progress_sent: dict[JobRef, tuple[int, int]] = {}
+        self.budget: Budget | None = None
+
+    # Taking over
+
+    def load(self, live: list[Item], work: list[Item], drops: list[Item], now: Seconds) -> None:
+        grouped = group_work(work)
+        for item in live:
+            self._load_job(item, grouped.pop(JobRef(item.key.partition("/")[2]), []), now)
+        for orphans in grouped.values():
+            # Their job has ended; the transaction that ended it had no room to remove them.
+            self._garbage.extend((item.key, item.version) for item in orphans)
+        for item in drops:
+            machine_id = MachineId(item.key.removeprefix(DROP))
+            machine = self.ledger.machines.get(machine_id) or self._shell(machine_id, now)
+            machine.dropping = machine.drop_recorded = True
+            machine.drop_version = item.version
+
+    def _load_job(self, item: Item, work: list[Item], now: Seconds) -> None:
+        wall = WallTime(item.value["at"])
+        submitted = Seconds(min(now, wall - self._wall_offset))
+        job = Job(spec_of(item.value), item.version, submitted, wall)
+        for stretch in work:
+            job.load_work(stretch)
+        job.loaded()
+        self.jobs[job.ref] = job
+        for stretch_ in job.stretches.values():
+            for index, placed in stretch_.placed.items():
+                machine = self.ledger.machines.get(placed.machine) or self._shell(
+                    placed.machine, now
+                )
+                hold = Hold(
+                    TaskId(job.ref, index),
+                    placed.attempt,
+                    job.spec,
+                    machine.id,
+                    machine.zone,
+                    placed.session,
+                    recorded=True,
+                    sent=True,
+                    placed_at=now,
+                )
+                self.ledger.add(machine, hold)
+        if item.value["aborted"]:
+            self._abort(job)
+
+    def _shell(self, machine_id: MachineId, now: Seconds) -> Machine:
+        """A machine that a record names and that nobody has described yet."""
+        machine = Machine(machine_id, UNKNOWN_TYPE, Zone(""), False)
+        self._enter(machine, now)
+        return machine
+
+    def _enter(self, machine: Machine, now: Seconds) -> None:
+        machine.born = machine.last_heard = now
+        machine.risk_token = self.began_token - 1
+        machine.last_answer = Seconds(self.began + self._others_renew_s())
+        self.ledger.machines[machine.id] = machine
+
+    def _others_renew_s(self) -> float:
+        """For how long after our election an earlier leader may go on renewing leases."""
+        d = self.deployment
+        return max(0.0, d.cancel_s - d.lease_s - MARGIN_S) * DRIFT
+
+    def renew_until(self) -> Seconds:
+        """No lease is renewed later: a cancellation accepted elsewhere must still hold."""
+        d = self.deployment
+        contact = min(self.election.contact, self.watched)
+        return Seconds(contact + max(0.0, d.cancel_s - d.lease_s - MARGIN_S) / DRIFT)
+
+    def may_start(self, now: Seconds) -> bool:
+        contact = min(self.election.contact, self.watched)
+        return self.election.leading and now - contact <= START_CONTACT_S
+
+    # Jobs as users change them
+
+    def live_news(self, changes: Iterable[Item], now: Seconds) -> None:
+        for change in changes:
+            ref = JobRef(change.key.partition("/")[2])
+            job = self.jobs.get(ref)
+            if change.version == 0:
+                continue
+            if job is None:
+                self._load_job(change, [], now)
+                job = self.jobs[ref]
+                self.fleet.demand.arrived(job, now)
+                self._changed = True
+            elif change.version > job.version:
+                job.version = change.version
+                job.settling = False
+                if change.value["aborted"]:
+                    self._abort(job)
+
+    def _abort(self, job: Job) -> None:
+        if job.aborted:
+            return
+        job.aborted = True
+        for stretch in job.stretches.values():
+            for index, placed in list(stretch.placed.items()):
+                machine = self.ledger.machines.get(placed.machine)
+                hold = machine and machine.holds.get((TaskId(job.ref, index), placed.attempt))
+                if machine and hold:
+                    self._withdraw(machine, hold, 0.0)
+
+    def _withdraw(self, machine: Machine, hold: Hold, grace_s: float) -> None:
+        """Stop the attempt; its hold stays until it is proven gone."""
+        hold.withdrawn = True
+        hold.grace_s = grace_s
+        self._kick.add(machine.id)
+        if not hold.listed and not machine.may_still_start(hold):
+            self._gone(machine, hold, self.now, None)
+
+    # Workers
+
+    def check_in(self, request: int, report: Report, now: Seconds) -> None:
+        token = self.election.token
+        if token is None or now > self.renew_until():
+            self.out.add(Answer(request, 503, retry_after_s=1))
+            return
+        if report.token > token:
+            self.out.add(Answer(request, 503, retry_after_s=1))
+            self.election.resign("a worker has seen a higher token")
+            return
+        if report.machine in self.tombstones:
+            # Deleted, so this is an old report held up on its way.
+            self.out.add(Answer(request, 503, retry_after_s=1))
+            return
+        machine = self._machine_of(report, now)
+        if report.seen <= machine.seen:
+            # Late, or repeated: the worker has given this one up and drops any answer.
+            self.out.add(Answer(request, 503, retry_after_s=1))
+            return
+        if report.seen.session > machine.seen.session:
+            machine.checked = 0
+        self._apply(machine, report, now, check_in=True)
+        orders = self._orders(machine, now, report.seen.tally)
+        machine.last_heard = now
+        machine.last_answer = (
+            now if machine.shown_token >= self.began_token else max(machine.last_answer, now)
+        )
+        self.out.add(Orders(request, token, tuple(orders)))
+
+    def _machine_of(self, report: Report, now: Seconds) -> Machine:
+        machine = self.ledger.machines.get(report.machine)
+        if machine is None:
+            machine = Machine(report.machine, UNKNOWN_TYPE, report.zone, report.spot)
+            self._enter(machine, now)
+        self._describe(machine, report.type, report.zone, report.spot)
+        machine.address = report.address
+        return machine
+
+    def _describe(self, machine: Machine, kind: TypeName, zone: Zone, spot: bool) -> None:
+        if machine.type is not UNKNOWN_TYPE:
+            return
+        machine.type = self.fleet.types.get(kind, UNKNOWN_TYPE)
+        machine.spot = spot
+        if machine.zone != zone:
+            holds = list(machine.holds.values())
+            for hold in holds:
+                self.ledger.remove(machine, hold)
+            machine.zone = zone
+            for hold in holds:
+                hold.zone = zone
+                self.ledger.add(machine, hold)
+
+    def _apply(self, machine: Machine, report: Report, now: Seconds, check_in: bool) -> None:
+        """Take in a report newer than all before it."""
+        later_session = report.seen.session > machine.seen.session
+        machine.seen = report.seen
+        if check_in:
+            machine.checked = report.seen.tally
+        machine.shown_token = max(machine.shown_token, report.token)
+        if not machine.up:
+            machine.up = True
+            self._changed = True
+        if later_session:
+            for hold in self.ledger.before_session(machine, report.seen.session):
+                self._gone(machine, hold, now, None)
+            machine.exited.clear()
+            machine.strays.clear()
+        if report.notice_s is not None and machine.recall_at is None:
+            machine.recall_at = Seconds(now + report.notice_s)
+            self._evacuate(machine, report.notice_s, now)
+        listed = {(task.task, task.attempt): task for task in report.tasks}
+        machine.exited = {
+            key: task.cause or "" for key, task in listed.items() if task.state == reports.EXITED
+        }
+        machine.strays = {
+            key
+            for key, task in listed.items()
+            if task.state != reports.EXITED and key not in machine.holds
+        }
+        for key, hold in list(machine.holds.items()):
+            self._compare(machine, hold, listed.get(key), now)
+
+    def _compare(self, machine: Machine, hold: Hold, task: TaskReport | None, now: Seconds) -> None:
+        if task is None:
+            hold.listed = False
+            if hold.withdrawn and not machine.may_still_start(hold):
+                self._gone(machine, hold, now, None)
+            return
+        hold.listed = hold.sent = True
+        if task.state == reports.EXITED:
+            self._exited(machine, hold, task.cause or "", now)
+            return
+        hold.state = task.state
+        if task.state == reports.RUNNING and hold.running_since is None:
+            hold.running_since = now
+            machine.images[hold.spec.image] = min(
+                now, machine.images.get(hold.spec.image, Seconds(now))
+            )
+
+    def _exited(self, machine: Machine, hold: Hold, cause: str, now: Seconds) -> None:
+        if cause == "done":
+            if hold.running_since is not None:
+                self.run_times.learn(hold.spec, now - hold.running_since)
+            machine.errors.discard(hold.task.job)
+        self._gone(machine, hold, now, cause)
+
+    def _gone(self, machine: Machine, hold: Hold, now: Seconds, cause: str | None) -> None:
+        """The attempt is proven gone, by its exit's cause or, with None, without a result."""
+        self.ledger.remove(machine, hold)
+        self._changed = True
+        job = self.jobs.get(hold.task.job)
+        if job is None or not job.is_current(hold.task.number, hold.attempt):
+            return
+        index = hold.task.number
+        if cause == "done":
+            job.finish(index)
+            return
+        if cause is None or cause == "stopped":
+            job.requeue(index, None)
+            return
+        pause = 2.0
+        if cause == "error":
+            failures = job.failures.get(index, 0) + 1
+            job.failures[index] = failures
+            job.failed_on.add(machine.id)
+            machine.errors.add(job.ref)
+            pause = min(60.0, 0.5 * 2.0**failures) if failures > 1 or not job.succeeded else 0.0
+            if len(machine.errors) >= SUSPECT_JOBS and not machine.suspect:
+                machine.suspect = True
+                self.out.note("info", f"machine {machine.id}: several jobs fail on it, draining")
+        elif cause == "no_room":
+            machine.full_until = Seconds(now + 4.0)
+            pause = 0.3
+        job.requeue(index, Seconds(now + pause))
+
+    def _orders(self, machine: Machine, now: Seconds, answering: int | None) -> list[Order]:
+        """What the worker is to do; `answering` is the tally of the check-in answered."""
+        orders: list[Order] = []
+        may_start = self.may_start(now)
+        for hold in machine.holds.values():
+            if hold.withdrawn:
+                if hold.listed:
+                    orders.append(StopOrder(str(hold.task), hold.attempt, hold.grace_s))
+                elif machine.shown_token <= machine.risk_token:
+                    self._want_rotation(machine)
+            elif hold.recorded and not hold.listed and may_start:
+                if hold.session != machine.seen.session:
+                    continue
+                orders.append(StartOrder(str(hold.task), hold.attempt))
+                hold.sent = True
+                if answering is not None:
+                    hold.answered_at = answering
+        for task, attempt in machine.strays:
+            orders.append(StopOrder(str(task), attempt, 0.0))
+        orders.extend(
+            ClearOrder(str(key[0]), key[1])
+            for key in machine.exited
+            if self._clearable(machine, key)
+        )
+        return orders[:MOST_ORDERS]
+
+    def _clearable(self, machine: Machine, key: AttemptKey) -> bool:
+        """Once cleared, the attempt is unknown to the worker and a late start would start it again.
+
+        So no start may be on its way any more, and the store must not name it any more, or
+        the next leader would send one.
+        """
+        if machine.direct_in_flight:
+            return False
+        if machine.shown_token <= machine.risk_token:
+            self._want_rotation(machine)
+            return False
+        task, attempt = key
+        job = self.jobs.get(task.job)
+        if job is None:
+            return True
+        stretch = job.stretches.get(task.number // STRETCH)
+        return stretch is None or (task.number, attempt) not in stretch.recorded
+
+    def _want_rotation(self, machine: Machine) -> None:
+        """Only a higher token rules out that a lost direct message is executed after all."""
+        if machine.shown_token >= self.began_token:
+            self._rotate_wanted = True
+
+    def _send_direct(self, now: Seconds) -> None:
+        token = self.election.token
+        kick, self._kick = self._kick, set()
+        if token is None:
+            return
+        for machine_id in kick:
+            machine = self.ledger.machines.get(machine_id)
+            if machine is None or machine.address is None or not machine.up or machine.dropping:
+                continue
+            if machine.direct_in_flight:
+                self._kick.add(machine_id)
+                continue
+            if now < machine.direct_after:
+                continue
+            orders = [o for o in self._orders(machine, now, None) if not isinstance(o, ClearOrder)]
+            if not orders:
+                continue
+            machine.direct_in_flight = True
+            self.out.add(
+                Direct(
+                    machine.address,
+                    token,
+                    machine.seen.session,
+                    tuple(orders),
+                    self._direct_done(machine, token),
+                )
+            )
+
+    def _direct_done(self, machine: Machine, token: int) -> Callable[[Report | None, bool], None]:
+        def done(report: Report | None, perhaps: bool) -> None:
+            machine.direct_in_flight = False
+            if self.retired:
+                return
+            if report is None:
+                machine.direct_after = Seconds(self.now + 3.0)
+                if perhaps:
+                    machine.risk_token = max(machine.risk_token, token)
+                return
+            if report.machine != machine.id:
+                return
+            if report.token > (self.election.token or 0):
+                self.election.resign("a worker has seen a higher token")
+            elif report.seen > machine.seen and machine.id in self.ledger.machines:
+                self._apply(machine, report, self.now, check_in=False)
+
+        return done
+
+    # Machines
+
+    def _evacuate(self, machine: Machine, notice_s: float, now: Seconds) -> None:
+        """Stop what the notice leaves no time for, so that it starts elsewhere sooner."""
+        self.out.note("info", f"machine {machine.id}: to be taken back in {notice_s:.0f} s")
+        for hold in list(machine.holds.values()):
+            spec = hold.spec
+            ran = now - (hold.running_since if hold.running_since is not None else now)
+            if self.run_times.estimate(spec) - ran < 0.7 * notice_s:
+                continue
+            saves = spec.checkpoint_s > 0 and spec.save_s < 0.5 * notice_s
+            self._withdraw(machine, hold, spec.save_s if saves else 0.0)
+
+    def drop(self, machine: Machine, why: str) -> None:
+        """Decide to delete it: recorded first, then final."""
+        if not machine.dropping:
+            machine.dropping = True
+            self.out.note("info", f"machine {machine.id}: returned ({why})")
+
+    def _delete_recorded(self, now: Seconds) -> None:
+        ready = [
+            m
+            for m in self.ledger.machines.values()
+            if m.drop_recorded and (m.delete_sent is None or now - m.delete_sent > 4.0)
+        ][:100]
+        if not ready:
+            return
+        for machine in ready:
+            machine.delete_sent = now
+        self.out.add(
+            DeleteMachines(tuple(m.id for m in ready), lambda ok: self._deleted(ready, ok))
+        )
+
+    def _deleted(self, machines: list[Machine], ok: bool) -> None:
+        now = self.now
+        if self.retired:
+            return
+        for machine in machines:
+            if not ok:
+                machine.delete_sent = Seconds(now - 3.0)
+                continue
+            for hold in list(machine.holds.values()):
+                self._gone(machine, hold, now, None)
+            self.ledger.machines.pop(machine.id, None)
+            self.tombstones[machine.id] = now
+            self._drops_done.append((now, drop_key(machine.id), machine.drop_version))
+
+    def _watch_machines(self, now: Seconds) -> None:
+        d = self.deployment
+        machines = list(self.ledger.machines.values())
+        silent_s = self.knobs.silence_leases * d.lease_s
+        up = [m for m in machines if m.up and not m.dropping]
+        silent = [m for m in up if now - m.last_heard > silent_s]
+        many = len(silent) > max(2, 0.4 * len(up))
+        if len(up) > 1 and all(now - m.last_heard > UNHEARD_S for m in up):
+            # They live or die by who answers them: let one lead whom they can reach.
+            self.election.resign("no worker reaches us", rest_s=10.0)
+            return
+        for machine in machines:
+            self._lease_run_out(machine, now)
+            busy = bool(machine.holds or machine.exited or machine.strays)
+            if busy or not machine.up:
+                machine.idle_since = None
+            elif machine.idle_since is None:
+                machine.idle_since = now
+            if machine.dropping:
+                continue
+            if machine.up:
+                if now - machine.last_heard > silent_s and (
+                    not many or now - machine.last_heard > 2.0 * d.cancel_s
+                ):
+                    self.drop(machine, f"silent for {now - machine.last_heard:.0f} s")
+                elif (machine.suspect or machine.recall_at is not None) and not machine.holds:
+                    self.drop(machine, "drained")
+            elif now > max(machine.born + 4.0 * machine.type.boot_s + 20.0, self.began + silent_s):
+                self.drop(machine, "never came up")
+
+    def _lease_run_out(self, machine: Machine, now: Seconds) -> None:
+        lease_s = self.deployment.lease_s * DRIFT + 0.2
+        if machine.holds and now > machine.last_answer + lease_s:
+            for hold in list(machine.holds.values()):
+                self._gone(machine, hold, now, None)
+
+    def usable(self, machine: Machine, now: Seconds) -> bool:
+        return (
+            machine.up
+            and not machine.dropping
+            and not machine.suspect
+            and not machine.strays
+            and machine.recall_at is None
+            and machine.full_until <= now
+            and machine.type is not UNKNOWN_TYPE
+            and now - machine.last_heard < 1.25 * self.deployment.report_s + 1.0
+        )
+
+    def listed(self, machines: list[ListedMachine] | None) -> None:
+        self._listing = False
+        if machines is None or self.retired:
+            return
+        now = self.now
+        for entry in machines:
+            if entry.id in self.tombstones:
+                continue
+            machine = self.ledger.machines.get(entry.id)
+            if machine is None:
+                machine = Machine(entry.id, UNKNOWN_TYPE, entry.zone, entry.spot)
+                self._enter(machine, now)
+            self._describe(machine, entry.type, entry.zone, entry.spot)
+            machine.address = machine.address or entry.address
+            machine.born = min(machine.born, Seconds(now - entry.age_s))
+            if entry.state == "failed":
+                self.drop(machine, "failed")
+
+    def types_changed(self) -> None:
+        """Prices moved: machines refer to their type as it was described last."""
+        for machine in self.ledger.machines.values():
+            machine.type = self.fleet.types.get(machine.type.name, machine.type)
+
+    # Rounds
+
+    def tick(self, now: Seconds) -> None:
+        for job in self.jobs.values():
+            if job.resting:
+                job.wake(now)
+        self._watch_machines(now)
+        if self.retired:
+            return
+        if now >= self._full_round_at:
+            self._full_round_at = Seconds(now + self.knobs.round_s)
+            self._changed = True
+            self._purge(now)
+        self._adjust_fleet(now)
+        if not self._listing and now >= self._list_at:
+            self._list_at = Seconds(now + LIST_S)
+            self._listing = True
+            self.out.add(ListMachines(self.listed))
+        self._delete_recorded(now)
+
+    def settle(self, now: Seconds) -> None:
+        """At the end of every step: plan, write what changed and send what was written."""
+        if self.retired:
+            return
+        if self._changed and now >= self._round_at:
+            self._round_at = Seconds(now + self.knobs.prompt_round_s)
+            self._changed = False
+            self._round(now)
+        self._flush(now)
+        if self._kick:
+            self._send_direct(now)
+
+    def _purge(self, now: Seconds) -> None:
+        old = [m for m, at in self.tombstones.items() if now - at > TOMBSTONE_S]
+        for machine_id in old:
+            del self.tombstones[machine_id]
+        # Kept for a while, so that a successor too knows old reports for what they are.
+        while self._drops_done and now - self._drops_done[0][0] > DROP_KEPT_S:
+            _, key, version = self._drops_done.popleft()
+            self._garbage.append((key, version))
+
+    def _round(self, now: Seconds) -> None:
+        if not self.may_start(now) or not self.fleet.types:
+            return
+        jobs = [j for j in self.jobs.values() if not j.aborted and not j.settling]
+        machines = [m for m in self.ledger.machines.values() if self.usable(m, now)]
+        planned = Round(
+            self.ledger,
+            self.scorer,
+            self.deployment.teams,
+            self.rng,
+            now,
+            self.knobs.drop_threshold,
+            self.reserve(),
+        ).plan(jobs, machines, MOST_CHOICES)
+        for choice in planned:
+            self._place(self.jobs[choice.job], self.ledger.machines[choice.machine], now)
+        if len(planned) >= MOST_CHOICES:
+            self._changed = True
+
+    def reserve(self) -> float:
+        """Room that work below urgent leaves free for urgent work to come."""
+        return 0.5 * self.fleet.demand.urgent_job()
+
+    def _place(self, job: Job, machine: Machine, now: Seconds) -> None:
+        """Commit a choice, ours or proposed, if everything that may be there still admits it."""
+        spec = job.spec
+        limits = self.deployment.teams.get(spec.team)
+        if (
+            limits is None
+            or job.peek() is None
+            or not self.usable(machine, now)
+            or not machine.fits(spec)
+            or not machine.allowed(spec)
+            or not self.ledger.zone_allows(spec, machine.zone)
+            or not within(self.ledger.team_cpus.get(spec.team, 0.0) + spec.cpus, limits.cpus_max)
+            or not within(self.ledger.team_gpus.get(spec.team, 0.0) + spec.gpus, limits.gpus_max)
+        ):
+            return
+        task, attempt = job.place(machine.id, machine.seen.session)
+        hold = Hold(
+            task, attempt, spec, machine.id, machine.zone, machine.seen.session, placed_at=now
+        )
+        self.ledger.add(machine, hold)
+        if spec.image not in machine.images:
+            last = max(machine.images.values(), default=now)
+            ready = max(now, last) + fetch_time(job, machine.type)
+            machine.images[spec.image] = Seconds(ready)
+
+    # Renting
+
+    def _adjust_fleet(self, now: Seconds) -> None:
+        if now < self._rent_at or not self.fleet.types or not self.may_start(now):
+            return
+        self._rent_at = Seconds(now + 1.0)
+        machines = list(self.ledger.machines.values())
+        rate = sum(m.type.price_for(m.spot) for m in machines) / 3600.0
+        if self.budget is None:
+            self.budget = Budget(self.knobs.period_s, self._allowance(), now)
+        self.budget.charge(rate, now)
+        jobs = [j for j in self.jobs.values() if not j.aborted]
+        wanted = self.fleet.wanted(
+            jobs, self.deployment.teams, self.ledger.team_cpus, machines, now
+        )
+        if wanted is not None and not self._renting and self._heard_of_fleet(now):
+            more = self._rate(wanted)
+            if self.budget.admits(rate, more, self._waiting_cost(jobs), now):
+                self._rent(wanted)
+        current = sum(self.ledger.team_cpus.values())
+        for machine in self.fleet.returnable(machines, current, now):
+            self.drop(machine, "idle")
+
+    def _heard_of_fleet(self, now: Seconds) -> bool:
+        """A new leader first hears of the machines there are, or it would rent them twice."""
+        return now - self.began > min(3.0, self.deployment.report_s * 1.3)
+
+    def _rate(self, wanted: Wanted) -> float:
+        kind = self.fleet.types[wanted.pool.type]
+        return kind.price_for(wanted.pool.spot) * wanted.count / 3600.0
+
+    def _allowance(self) -> float:
+        """The starting budget: every team's guarantee on ordinary machines for a period."""
+        per_cpu = min(
+            (t.price / t.cpus for t in self.fleet.types.values() if t.cpus > 0), default=0.0
+        )
+        cpus = sum(limits.cpus for limits in self.deployment.teams.values())
+        return self.knobs.budget_factor * cpus * per_cpu * self.knobs.period_s / 3600.0
+
+    def _waiting_cost(self, jobs: list[Job]) -> float:
+        dear = max(self.fleet.types.values(), key=lambda t: t.price / max(t.cpus, 1e-9))
+        return sum(
+            job.waiting_count() * self.scorer.cost(job.spec, dear, False, 0.0) for job in jobs
+        )
+
+    def _rent(self, wanted: Wanted) -> None:
+        self._renting = True
+        self._rent_number += 1
+        # The token is ours alone, so no controller, nor an earlier life of it, uses this name.
+        name = f"r-{self.began_token}-{self._rent_number}"
+        self._request(name, wanted, 1)
+
+    def _request(self, name: str, wanted: Wanted, tries: int) -> None:
+        pool = wanted.pool
+        self.out.add(
+            Rent(
+                name,
+                pool.type,
+                pool.zone,
+                pool.spot,
+                wanted.count,
+                lambda result: self._rented(name, wanted, tries, result),
+            )
+        )
+
+    def _rented(
+        self, name: str, wanted: Wanted, tries: int, result: list[str] | bool | None
+    ) -> None:
+        now = self.now
+        pool = self.fleet.pool(wanted.pool)
+        if self.retired:
+            return
+        if result is None and tries < 4:
+            self._request(name, wanted, tries + 1)
+            return
+        self._renting = False
+        if not isinstance(result, list):
+            pool.refuse(now)
+            return
+        self._add_rented(wanted.pool, result, now)
+        if len(result) < wanted.count:
+            pool.refuse(now)
+        else:
+            pool.granted()
+        self._rent_at = now
+
+    def _add_rented(self, pool: PoolKey, names: list[str], now: Seconds) -> None:
+        for name in names:
+            machine_id = MachineId(name)
+            if machine_id in self.ledger.machines or machine_id in self.tombstones:
+                continue
+            machine = Machine(machine_id, self.fleet.types[pool.type], pool.zone, pool.spot)
+            self._enter(machine, now)
+        self.out.note("info", f"rented {len(names)} of {pool.type} in {pool.zone}")
+
+    # Records
+
+    def _flush(self, now: Seconds) -> None:
+        token = self.election.token
+        if self._writing or self.retired or token is None:
+            return
+        if self._rotate_wanted and now - self._rotated_at > ROTATE_S:
+            self._rotate(now)
+            return
+        batch = Batch(token, self.deployment.txn_ops, self.deployment.value_kb)
+        lazy = now - self._lazy_flush >= LAZY_S
+        for machine in self.ledger.machines.values():
+            if machine.dropping and not machine.drop_recorded and batch.room(1):
+                batch.drops.append(machine)
+                batch.writes.append(Put(drop_key(machine.id), {"why": "returned"}))
+        for urgent in (True, False):
+            if not urgent and not lazy and not batch.writes:
+                break
+            for job in self.jobs.values():
+                if not job.settling:
+                    self._collect(batch, job, urgent)
+        if lazy:
+            self._lazy_flush = now
+            while self._garbage and batch.room(1):
+                key, version = self._garbage.popleft()
+                batch.conditions[key] = version
+                batch.writes.append(Remove(key))
+        if batch.writes:
+            self._write(batch)
+
+    def _collect(self, batch: Batch, job: Job, urgent: bool) -> None:
+        if job.over():
+            keys = [work_key(job.ref, s.number) for s in job.stretches.values() if s.version]
+            if urgent and batch.room(3) and job not in batch.ended:
+                batch.end(job, keys)
+            return
+        for stretch in job.stretches.values():
+            if stretch.dirty and stretch.urgent == urgent and batch.room(1):
+                batch.record(job, stretch)
+
+    def _write(self, batch: Batch) -> None:
+        self._writing = True
+        self.out.add(
+            Commit(
+                tuple(batch.conditions.items()),
+                tuple(batch.writes),
+                lambda result: self._written(batch, result),
+            )
+        )
+
+    def _written(self, batch: Batch, result: Committed | Conflict | NoSuchLease | None) -> None:
+        if self.retired:
+            return
+        if result is None:
+            # Perhaps carried out, perhaps later: nothing else is written until that is known.
+            self._write(batch)
+            return
+        self._writing = False
+        if isinstance(result, Committed):
+            self._recorded(batch, result.revision)
+        elif isinstance(result, Conflict) and self._only_live(batch, result):
+            self._put_back(batch, result.failed)
+        else:
+            self.election.resign("a write of ours met other versions than we know")
+
+    def _only_live(self, batch: Batch, conflict: Conflict) -> bool:
+        lives = {live_key(job.ref) for job in batch.jobs}
+        return not conflict.repeated and bool(conflict.failed) and conflict.failed <= lives
+
+    def _recorded(self, batch: Batch, revision: Version) -> None:
+        for machine in batch.drops:
+            machine.drop_recorded = True
+            machine.drop_version = revision
+        for job, stretch, recorded in batch.stretches:
+            stretch.version = revision
+            stretch.recorded = recorded
+            for index, attempt in recorded:
+                placed = stretch.placed.get(index)
+                if placed is None or placed.attempt != attempt:
+                    continue
+                machine_ = self.ledger.machines.get(placed.machine)
+                hold = machine_ and machine_.holds.get((TaskId(job.ref, index), attempt))
+                if hold and not hold.recorded:
+                    hold.recorded = True
+                    if not hold.withdrawn:
+                        self._kick.add(placed.machine)
+        for job in batch.ended:
+            del self.jobs[job.ref]
+            self._progress_sent.pop(job.ref, None)
+            for stretch in job.stretches.values():
+                key = work_key(job.ref, stretch.number)
+                if stretch.version and key not in batch.removed:
+                    self._garbage.append((key, stretch.version))
+            self.out.note("debug", f"job {job.ref} over")
+
+    def _put_back(self, batch: Batch, failed: frozenset[str]) -> None:
+        """A user cancelled meanwhile: that job's placements were never sent, so they are void."""
+        for job, stretch, _ in batch.stretches:
+            stretch.dirty = True
+            stretch.urgent = True
+            if live_key(job.ref) in failed:
+                for index, placed in list(stretch.placed.items()):
+                    machine = self.ledger.machines.get(placed.machine)
+                    hold = machine and machine.holds.get((TaskId(job.ref, index), placed.attempt))
+                    if machine and hold and not hold.recorded:
+                        self._gone(machine, hold, self.now, None)
+        for job in batch.jobs:
+            if live_key(job.ref) in failed and batch.conditions[live_key(job.ref)] == job.version:
+                job.settling = True
+                self._reread(job)
+
+    def _reread(self, job: Job) -> None:
+        def read(found: Found | None) -> None:
+            if found is None or found.item is None:
+                if not self.retired and self.jobs.get(job.ref) is job and job.settling:
+                    self._reread(job)
+                return
+            self.live_news([found.item], self.now)
+
+        self.out.add(Read(live_key(job.ref), read))
+
+    def _rotate(self, now: Seconds) -> None:
+        rotation = self.election.rotation()
+        if rotation is None:
+            return
+        self._writing = True
+        self._rotate_wanted = False
+        self._rotated_at = now
+
+        def rotated(result: Committed | Conflict | NoSuchLease | None) -> None:
+            rotation.then(result)
+            self._writing = False
+
+        self.out.add(Commit(rotation.conditions, rotation.writes, rotated))
+
+    def progress(self) -> dict[str, tuple[int, int]]:
+        """Done and running tasks of the jobs for which they changed: for display only."""
+        changed: dict[str, tuple[int, int]] = {}
+        for job in self.jobs.values():
+            now = (job.done_count, self.running(job))
+            if self._progress_sent.get(job.ref) != now:
+                self._progress_sent[job.ref] = changed[job.ref] = now
+        return changed
+
+    def running(self, job: Job) -> int:
+        count = 0
+        for stretch in job.stretches.values():
+            for index, placed in stretch.placed.items():
+                machine = self.ledger.machines.get(placed.machine)
+                hold = machine and machine.holds.get((TaskId(job.ref, index), placed.attempt))
+                if hold and hold.state == reports.RUNNING:
+                    count += 1
+        return count
+
+
+class Batch:
+    """One leader's transaction in the making."""
+
+    def __init__(self, token: int, most: int, value_kb: float) -> None:
+        self.conditions: dict[str, Version] = {LEADER: Version(token)}
+        self.writes: list[Put | Remove] = []
+        self.drops: list[Machine] = []
+        self.jobs: list[Job] = []
+        self.ended: list[Job] = []
+        self.removed: set[str] = set()
+        self.stretches: list[tuple[Job, Stretch, frozenset[tuple[int, Attempt]]]] = []
+        self._most = most
+        # 64 KiB is the limit for a whole transaction: leave room for conditions.
+        self._stretches_left = max(1, int(48 / min(8.0, value_kb)))
+
+    def room(self, writes: int) -> bool:
+        return len(self.writes) + writes <= self._most
+
+    def _compare_job(self, job: Job) -> None:
+        self.conditions[live_key(job.ref)] = job.version
+        self.jobs.append(job)
+
+    def end(self, job: Job, work: list[str]) -> None:
+        self._compare_job(job)
+        self.writes.append(
+            Put(ended_key(job.ref), ended_record(job.spec.tasks, aborted=job.aborted))
+        )
+        self.writes.append(Remove(live_key(job.ref)))
+        for stretch in job.stretches.values():
+            key = work_key(job.ref, stretch.number)
+            if key in work and self.room(1):
+                self.conditions[key] = stretch.version
+                self.writes.append(Remove(key))
+                self.removed.add(key)
+        self.ended.append(job)
+
+    def record(self, job: Job, stretch: Stretch) -> None:
+        if self._stretches_left <= 0:
+            return
+        self._stretches_left -= 1
+        key = work_key(job.ref, stretch.number)
+        self._compare_job(job)
+        self.conditions[key] = stretch.version
+        self.writes.append(Put(key, job.work_record(stretch)))
+        recorded = frozenset((i, p.attempt) for i, p in stretch.placed.items())
+        self.stretches.append((job, stretch, recorded))
+        stretch.dirty = stretch.urgent = False
--- /dev/null
+++ b/src/crosscleat/core/model.py
@@ -0,0 +1,136 @@
+"""What the service reasons about: jobs as submitted, machine types, the deployment."""
+
+from __future__ import annotations
+
+import enum
+import math
+from dataclasses import dataclass, field
+
+import msgspec
+
+from .ids import Image, JobRef, Team, TypeName, Zone
+
+
+class Priority(enum.IntEnum):
+    LOW = 0
+    NORMAL = 1
+    HIGH = 2
+    PRODUCTION = 3
+
+
+class JobSpec(msgspec.Struct, array_like=True, frozen=True):
+    """A job as its user described it. Kept in the store in this order of fields."""
+
+    ref: JobRef
+    job_class: str
+    team: Team
+    priority: Priority
+    tasks: int
+    cpus: float
+    gpus: float
+    memory_gb: float
+    image: Image
+    image_gb: float
+    types: tuple[TypeName, ...] | None
+    zone: Zone | None
+    one_zone: bool
+    spread: bool
+    spot: bool
+    estimate_s: float
+    checkpoint_s: float
+    save_s: float
+    deadline_s: float | None
+
+    def per_zone(self) -> int:
+        """How many of the tasks may be in one zone at a time."""
+        return math.ceil(self.tasks / 2) if self.spread else self.tasks
+
+
+@dataclass(frozen=True, slots=True)
+class MachineType:
+    name: TypeName
+    cpus: float
+    gpus: float
+    memory_gb: float
+    cache_gb: float
+    fetch_gb_per_s: float
+    price: float
+    spot_price: float
+    boot_s: float
+    zones: tuple[Zone, ...]
+
+    def price_for(self, spot: bool) -> float:
+        return self.spot_price if spot else self.price
+
+    def holds(self, job: JobSpec) -> bool:
+        """Whether one task of the job fits on an empty machine of this type."""
+        return (
+            job.cpus <= self.cpus
+            and job.gpus <= self.gpus
+            and job.memory_gb <= self.memory_gb
+            and (job.types is None or self.name in job.types)
+            and (job.zone is None or job.zone in self.zones)
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class TeamLimits:
+    name: Team
+    cpus: float
+    cpus_max: float
+    gpus: float
+    gpus_max: float
+
+
+@dataclass(frozen=True, slots=True)
+class Objective:
+    kind: str
+    job_class: str | None
+    within_s: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class Knobs:
+    """What operators may tune; the defaults are the ones measured in docs/design.md."""
+
+    weight: float = 0.3
+    drop_threshold: float = 0.05
+    round_s: float = 5.0
+    prompt_round_s: float = 0.15
+    period_s: float = 600.0
+    budget_factor: float = 1.5
+    headroom: float = 0.2
+    idle_return_s: float = 25.0
+    silence_leases: float = 0.7
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """The settings that decisions depend on."""
+
+    member: str
+    teams: dict[str, TeamLimits]
+    objectives: tuple[Objective, ...]
+    report_s: float
+    lease_s: float
+    cancel_s: float
+    value_kb: float
+    txn_ops: int
+    peers: tuple[str, ...] = ()
+    knobs: Knobs = field(default_factory=Knobs)
+
+    def class_limit(self, kind: str, job_class: str) -> float | None:
+        """The shortest time the aims of this kind give a class, if they name it."""
+        found = [
+            o.within_s
+            for o in self.objectives
+            if o.kind == kind and o.job_class == job_class and o.within_s is not None
+        ]
+        return min(found) if found else None
+
+
+def team_can_hold(job: JobSpec, limits: TeamLimits) -> bool:
+    """Whether the team's limit admits one task of the job at all."""
+    return (limits.cpus_max <= 0 or job.cpus <= limits.cpus_max) and (
+        job.gpus <= 0 or limits.gpus_max <= 0 or job.gpus <= limits.gpus_max
+    )
--- /dev/null
+++ b/src/crosscleat/core/placements.py
@@ -0,0 +1,175 @@
+"""Where each attempt may be, and what proves that it is gone.
+
+A hold stands for one attempt that may exist on a machine, seen there or not. It keeps
+its room, its team's quota and its place until one of these is shown:
+
+- a report newer than any other, of the same session, lists the attempt as exited;
+- a report of a later session, since a session's end ends all its tasks;
+- the cloud has confirmed the machine's deletion;
+- the lease has run out since the last answer anyone could have given;
+- the start can no longer be executed (`Machine.may_still_start` is false) and the newest
+  report does not list the attempt.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from .ids import (
+    ABSENT,
+    LONG_AGO,
+    NEVER,
+    Attempt,
+    MachineId,
+    Seconds,
+    Seen,
+    Session,
+    TaskId,
+    Version,
+    Zone,
+)
+from .model import JobSpec, MachineType
+
+AttemptKey = tuple[TaskId, Attempt]
+
+
+@dataclass(slots=True)
+class Hold:
+    task: TaskId
+    attempt: Attempt
+    spec: JobSpec
+    machine: MachineId
+    zone: Zone
+    session: Session
+    recorded: bool = False
+    """The store has the placement: a start may be sent."""
+    listed: bool = False
+    """The newest report lists it."""
+    state: str = ""
+    withdrawn: bool = False
+    """It is to go: no start is sent any more, and a stop when it is listed."""
+    grace_s: float = 0.0
+    stop_sent: Seconds | None = None
+    answered_at: int = 0
+    """Tally of the last check-in whose answer carried its start."""
+    sent: bool = False
+    """A start may have been sent, by this leader or an earlier one."""
+    placed_at: Seconds = LONG_AGO
+    running_since: Seconds | None = None
+
+
+@dataclass(slots=True)
+class Machine:
+    id: MachineId
+    type: MachineType
+    zone: Zone
+    spot: bool
+    address: str | None = None
+    born: Seconds = LONG_AGO
+    up: bool = False
+    seen: Seen = NEVER
+    checked: int = 0
+    """Tally of the newest check-in; answers to direct orders count in `seen` alone."""
+    shown_token: int = 0
+    risk_token: int = 0
+    """A direct start sent with this token or a lower one may still be executed."""
+    direct_in_flight: bool = False
+    last_heard: Seconds = LONG_AGO
+    last_answer: Seconds = LONG_AGO
+    """When anyone could last have renewed the worker's lease."""
+    recall_at: Seconds | None = None
+    suspect: bool = False
+    errors: set[str] = field(default_factory=set)
+    full_until: Seconds = LONG_AGO
+    dropping: bool = False
+    """Its deletion is decided; nothing is placed on it again."""
+    drop_recorded: bool = False
+    drop_version: Version = ABSENT
+    delete_sent: Seconds | None = None
+    images: dict[str, Seconds] = field(default_factory=dict)
+    """Images it should have, and from when on."""
+    holds: dict[AttemptKey, Hold] = field(default_factory=dict)
+    exited: dict[AttemptKey, str] = field(default_factory=dict)
+    """Attempts that the newest report lists as exited."""
+    idle_since: Seconds | None = None
+    used_cpus: float = 0.0
+    used_gpus: float = 0.0
+    used_memory: float = 0.0
+    strays: set[AttemptKey] = field(default_factory=set)
+    """Attempts at work on it that no record knows: to be stopped."""
+    direct_after: Seconds = LONG_AGO
+    """A direct message failed: until then it hears of orders by its check-ins alone."""
+
+    def fits(self, job: JobSpec) -> bool:
+        return (
+            self.used_cpus + job.cpus <= self.type.cpus + 1e-9
+            and self.used_memory + job.memory_gb <= self.type.memory_gb + 1e-9
+            and self.used_gpus + job.gpus <= self.type.gpus + 1e-9
+        )
+
+    def allowed(self, job: JobSpec) -> bool:
+        return (
+            (job.types is None or self.type.name in job.types)
+            and (job.zone is None or job.zone == self.zone)
+            and (job.spot or not self.spot)
+        )
+
+    def may_still_start(self, hold: Hold) -> bool:
+        """Whether a start of this hold that was sent could yet be executed.
+
+        A direct start stays possible until the worker has shown a higher token. One in a
+        check-in's answer is executed before the next check-in is sent, or never.
+        """
+        if not hold.sent:
+            return False
+        if self.direct_in_flight or self.shown_token <= self.risk_token:
+            return True
+        return self.checked <= hold.answered_at
+
+
+class Ledger:
+    """All holds, by machine, with the room, quota and zones that they take."""
+
+    def __init__(self) -> None:
+        self.machines: dict[MachineId, Machine] = {}
+        self.team_cpus: dict[str, float] = {}
+        self.team_gpus: dict[str, float] = {}
+        self.job_zones: dict[str, dict[Zone, int]] = {}
+
+    def add(self, machine: Machine, hold: Hold) -> None:
+        machine.holds[hold.task, hold.attempt] = hold
+        self._count(machine, hold, 1)
+
+    def remove(self, machine: Machine, hold: Hold) -> None:
+        if machine.holds.pop((hold.task, hold.attempt), None) is not None:
+            self._count(machine, hold, -1)
+
+    def _count(self, machine: Machine, hold: Hold, sign: int) -> None:
+        job = hold.spec
+        if machine.holds:
+            machine.used_cpus += sign * job.cpus
+            machine.used_gpus += sign * job.gpus
+            machine.used_memory += sign * job.memory_gb
+        else:
+            machine.used_cpus = machine.used_gpus = machine.used_memory = 0.0
+        self.team_cpus[job.team] = self.team_cpus.get(job.team, 0.0) + sign * job.cpus
+        self.team_gpus[job.team] = self.team_gpus.get(job.team, 0.0) + sign * job.gpus
+        zones = self.job_zones.setdefault(job.ref, {})
+        zones[hold.zone] = zones.get(hold.zone, 0) + sign
+        if zones[hold.zone] <= 0:
+            del zones[hold.zone]
+            if not zones:
+                del self.job_zones[job.ref]
+
+    def zone_allows(self, job: JobSpec, zone: Zone) -> bool:
+        """Whether the job's own tasks leave room for one more in this zone."""
+        if not job.one_zone and not job.spread:
+            return True
+        zones = self.job_zones.get(job.ref, {})
+        if job.one_zone and any(other != zone for other in zones):
+            return False
+        return not job.spread or zones.get(zone, 0) < job.per_zone()
+
+    def before_session(self, machine: Machine, session: Session) -> list[Hold]:
+        """The holds that a report of this session proves gone."""
+        return [h for h in machine.holds.values() if h.session < session]
--- /dev/null
+++ b/src/crosscleat/core/rounds.py
@@ -0,0 +1,247 @@
+"""One round of Weighted Util (paper section 3.2): which waiting task goes to which machine now.
+
+The same function plans the whole or one controller's part, so that the leader can plan a
+part whose owner does not answer.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterable
+from dataclasses import dataclass
+from random import Random
+
+from .ids import JobRef, MachineId, Seconds
+from .jobs import Job
+from .model import MachineType, Priority, TeamLimits
+from .placements import Ledger, Machine
+from .scoring import Scorer
+
+SAMPLE = 48
+"""More machines than this are sampled, not searched, as the users want under overload."""
+TROUBLED_MACHINES = 2
+"""A job that failed on so many machines and succeeded on none is tried one task at a time."""
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    job: JobRef
+    machine: MachineId
+
+
+@dataclass(slots=True)
+class Room:
+    """What a machine still has in this round."""
+
+    machine: Machine
+    cpus: float
+    gpus: float
+    memory: float
+    fetching_s: float
+
+    def fits(self, job: Job) -> bool:
+        spec = job.spec
+        return (
+            spec.cpus <= self.cpus + 1e-9
+            and spec.memory_gb <= self.memory + 1e-9
+            and spec.gpus <= self.gpus + 1e-9
+        )
+
+    def take(self, job: Job) -> None:
+        self.cpus -= job.spec.cpus
+        self.gpus -= job.spec.gpus
+        self.memory -= job.spec.memory_gb
+
+
+class Round:
+    def __init__(
+        self,
+        ledger: Ledger,
+        scorer: Scorer,
+        teams: dict[str, TeamLimits],
+        rng: Random,
+        now: Seconds,
+        drop_threshold: float,
+        reserve_cpus: float,
+    ) -> None:
+        self._ledger = ledger
+        self._scorer = scorer
+        self._teams = teams
+        self._rng = rng
+        self._now = now
+        self._threshold = drop_threshold
+        self._reserve = reserve_cpus
+        self._cpus = dict(ledger.team_cpus)
+        self._gpus = dict(ledger.team_gpus)
+        self._zones: dict[JobRef, dict[str, int]] = {}
+        self._pulling: dict[tuple[MachineId, str], float] = {}
+        self._rooms: list[Room] = []
+        self._taken: dict[JobRef, int] = {}
+        self._free = 0.0
+
+    def plan(self, jobs: Iterable[Job], machines: Iterable[Machine], most: int) -> list[Choice]:
+        """At most `most` choices, best pair first."""
+        now = self._now
+        for machine in machines:
+            kind = machine.type
+            waiting_s = max(
+                (ready - now for ready in machine.images.values() if ready > now), default=0.0
+            )
+            room = Room(
+                machine,
+                kind.cpus - machine.used_cpus,
+                kind.gpus - machine.used_gpus,
+                kind.memory_gb - machine.used_memory,
+                waiting_s,
+            )
+            self._free += max(0.0, room.cpus)
+            self._rooms.append(room)
+        waiting = [job for job in jobs if job.peek() is not None]
+        if not waiting or not self._rooms:
+            return []
+        self._scorer.max_cost = self._max_cost(waiting)
+        aside = []
+        heap: list[tuple[float, float, int, Job, Room]] = []
+        order = 0
+        for job in waiting:
+            job.set_aside = self._best_utility(job) < self._threshold
+            if job.set_aside:
+                aside.append(job)
+                continue
+            order += 1
+            self._offer(heap, job, order)
+        choices: list[Choice] = []
+        self._commit(heap, choices, most)
+        # DESIGN: set-aside tasks may still take idle room, once all others have chosen.
+        for job in aside:
+            order += 1
+            self._offer(heap, job, order)
+        self._commit(heap, choices, most)
+        return choices
+
+    def _commit(
+        self,
+        heap: list[tuple[float, float, int, Job, Room]],
+        choices: list[Choice],
+        most: int,
+    ) -> None:
+        """Stage two: the best pair overall is committed, and again."""
+        while heap and len(choices) < most:
+            _, _, order, job, room = heapq.heappop(heap)
+            if self._may(job, room):
+                self._take(job, room)
+                choices.append(Choice(job.ref, room.machine.id))
+            self._offer(heap, job, order)
+
+    def _offer(self, heap: list[tuple[float, float, int, Job, Room]], job: Job, order: int) -> None:
+        """Stage one: the job's next task finds its best machine."""
+        taken = self._taken.get(job.ref, 0)
+        if taken >= job.waiting_count() or not self._team_admits(job):
+            return
+        if troubled(job) and taken + job.placed_count() > 0:
+            return
+        rooms = self._rooms
+        if len(rooms) > SAMPLE:
+            rooms = self._rng.sample(rooms, SAMPLE)
+        best: tuple[float, float] | None = None
+        best_room = rooms[0]
+        age = Seconds(self._now - job.submitted)
+        for room in rooms:
+            if not self._may(job, room):
+                continue
+            machine = room.machine
+            fetch_s = self._fetch_s(job, room)
+            score = self._scorer.score(job.spec, age, machine.type, machine.spot, fetch_s)
+            # Among equals the fuller machine, so that others empty and can be returned.
+            rank = (-score, room.cpus)
+            if best is None or rank < best:
+                best, best_room = rank, room
+        if best is not None:
+            heapq.heappush(heap, (best[0], -age, order, job, best_room))
+
+    def _may(self, job: Job, room: Room) -> bool:
+        if not room.fits(job) or not room.machine.allowed(job.spec):
+            return False
+        if job.spec.priority < Priority.HIGH and self._free - job.spec.cpus < self._reserve:
+            return False
+        if room.machine.id in job.failed_on and not self._all_failed(job):
+            return False
+        return self._zone_admits(job, room.machine)
+
+    def _all_failed(self, job: Job) -> bool:
+        return all(room.machine.id in job.failed_on for room in self._rooms)
+
+    def _zone_admits(self, job: Job, machine: Machine) -> bool:
+        spec = job.spec
+        if not spec.one_zone and not spec.spread:
+            return True
+        mine = self._zones.get(job.ref, {})
+        if not self._ledger.zone_allows(spec, machine.zone):
+            return False
+        if spec.one_zone and any(zone != machine.zone for zone in mine):
+            return False
+        if spec.spread:
+            before = self._ledger.job_zones.get(job.ref, {}).get(machine.zone, 0)
+            return before + mine.get(machine.zone, 0) < spec.per_zone()
+        return True
+
+    def _team_admits(self, job: Job) -> bool:
+        limits = self._teams.get(job.spec.team)
+        if limits is None:
+            return False
+        cpus = self._cpus.get(job.spec.team, 0.0) + job.spec.cpus
+        gpus = self._gpus.get(job.spec.team, 0.0) + job.spec.gpus
+        return within(cpus, limits.cpus_max) and within(gpus, limits.gpus_max)
+
+    def _take(self, job: Job, room: Room) -> None:
+        spec = job.spec
+        room.take(job)
+        self._free -= spec.cpus
+        self._taken[job.ref] = self._taken.get(job.ref, 0) + 1
+        self._cpus[spec.team] = self._cpus.get(spec.team, 0.0) + spec.cpus
+        self._gpus[spec.team] = self._gpus.get(spec.team, 0.0) + spec.gpus
+        if spec.one_zone or spec.spread:
+            zones = self._zones.setdefault(job.ref, {})
+            zones[room.machine.zone] = zones.get(room.machine.zone, 0) + 1
+        key = (room.machine.id, spec.image)
+        if key not in self._pulling:
+            self._pulling[key] = self._fetch_s(job, room)
+            room.fetching_s = max(room.fetching_s, self._pulling[key])
+
+    def _fetch_s(self, job: Job, room: Room) -> float:
+        """How long the machine will still need for the job's image, behind its other fetches."""
+        machine = room.machine
+        ready = machine.images.get(job.spec.image)
+        if ready is not None:
+            return max(0.0, ready - self._now)
+        pulling = self._pulling.get((machine.id, job.spec.image))
+        if pulling is not None:
+            return pulling
+        return room.fetching_s + fetch_time(job, machine.type)
+
+    def _best_utility(self, job: Job) -> float:
+        """Paper section 3.3: what the task could earn if it started now."""
+        age = self._now - job.submitted
+        return self._scorer.utility(job.spec, age + self._scorer.run_s(job.spec))
+
+    def _max_cost(self, waiting: list[Job]) -> float:
+        kinds = {(room.machine.type.name, room.machine.spot): room.machine for room in self._rooms}
+        costs = (
+            self._scorer.cost(job.spec, m.type, m.spot, fetch_time(job, m.type))
+            for job in waiting
+            for m in kinds.values()
+        )
+        return max(max(costs, default=0.0), 1e-9)
+
+
+def within(amount: float, limit: float) -> bool:
+    """A limit of 0 means none."""
+    return limit <= 0 or amount <= limit + 1e-9
+
+
+def troubled(job: Job) -> bool:
+    return not job.succeeded and len(job.failed_on) >= TROUBLED_MACHINES
+
+
+def fetch_time(job: Job, kind: MachineType) -> float:
+    return job.spec.image_gb / kind.fetch_gb_per_s if kind.fetch_gb_per_s > 0 else 0.0
--- /dev/null
+++ b/src/crosscleat/core/scoring.py
@@ -0,0 +1,90 @@
+"""Utility, cost and run-time estimates: the terms of the Weighted Util score."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+
+from .ids import Seconds
+from .model import Deployment, JobSpec, MachineType, Priority
+
+PEAKS = {
+    Priority.LOW: 1.0,
+    Priority.NORMAL: 2.0,
+    Priority.HIGH: 4.0,
+    Priority.PRODUCTION: 8.0,
+}
+MAX_UTILITY = max(PEAKS.values())
+
+
+class RunTimes:
+    """Learns per class by how much owners' estimates are off.
+
+    Owners' estimates are wrong in one direction for whole days; charging them unchanged
+    would let the budget drain early, as DESIGN warns.
+    """
+
+    def __init__(self) -> None:
+        self._ratios: dict[str, deque[float]] = {}
+        self._factor: dict[str, float] = {}
+
+    def learn(self, job: JobSpec, ran_s: float) -> None:
+        if job.estimate_s <= 0 or ran_s <= 0:
+            return
+        ratios = self._ratios.setdefault(job.job_class, deque(maxlen=64))
+        ratios.append(ran_s / job.estimate_s)
+        # Two pretended observations of 1.0 keep the first few from swinging it.
+        self._factor[job.job_class] = (sum(ratios) + 2.0) / (len(ratios) + 2)
+
+    def estimate(self, job: JobSpec) -> float:
+        return max(0.1, job.estimate_s * self._factor.get(job.job_class, 1.0))
+
+
+class Scorer:
+    """(1 - wf) * utility / max utility - wf * cost / max cost, paper section 3.2, eq. 1."""
+
+    def __init__(self, deployment: Deployment, run_times: RunTimes) -> None:
+        self._deployment = deployment
+        self._run_times = run_times
+        self._limits: dict[str, float | None] = {}
+        self.weight = deployment.knobs.weight
+        self.max_cost = 1e-9
+
+    def due(self, job: JobSpec) -> float:
+        """Seconds after submission from which the job is worth less: deadline, aim or estimate."""
+        if job.deadline_s is not None:
+            return job.deadline_s
+        if job.job_class not in self._limits:
+            self._limits[job.job_class] = self._deployment.class_limit("finished", job.job_class)
+        limit = self._limits[job.job_class]
+        return limit if limit is not None else 60.0 + 3.0 * self._run_times.estimate(job)
+
+    def utility(self, job: JobSpec, completion_age: float) -> float:
+        """Monotonically decreasing in the age at completion: slowly until due, then quickly."""
+        due = max(1.0, self.due(job))
+        peak = PEAKS[job.priority]
+        if completion_age <= due:
+            return peak * (1.0 - 0.3 * max(0.0, completion_age) / due)
+        return peak * 0.7 * math.exp(-(completion_age - due) / due)
+
+    def run_s(self, job: JobSpec) -> float:
+        return self._run_times.estimate(job)
+
+    def share(self, job: JobSpec, machine: MachineType) -> float:
+        """The part of the machine that one task keeps others from using."""
+        return max(
+            job.cpus / machine.cpus if machine.cpus else 0.0,
+            job.gpus / machine.gpus if machine.gpus else 0.0,
+            job.memory_gb / machine.memory_gb if machine.memory_gb else 0.0,
+        )
+
+    def cost(self, job: JobSpec, machine: MachineType, spot: bool, fetch_s: float) -> float:
+        rate = machine.price_for(spot) / 3600.0
+        return (self.run_s(job) + fetch_s) * rate * self.share(job, machine)
+
+    def score(
+        self, job: JobSpec, age: Seconds, machine: MachineType, spot: bool, fetch_s: float
+    ) -> float:
+        utility = self.utility(job, age + fetch_s + self.run_s(job))
+        cost = self.cost(job, machine, spot, fetch_s)
+        return (1.0 - self.weight) * utility / MAX_UTILITY - self.weight * cost / self.max_cost
--- /dev/null
+++ b/src/crosscleat/settings.py
@@ -0,0 +1,134 @@
+"""The platform's settings file, and the operators' knobs that flags and variables add to it."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from .core.ids import Team
+from .core.model import Deployment, Knobs, Objective, TeamLimits
+
+Positive = Annotated[float, Meta(gt=0.0, le=1e9)]
+Amount = Annotated[float, Meta(ge=0.0, le=1e9)]
+Name = Annotated[str, Meta(min_length=1, max_length=100)]
+Address = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+
+
+class SettingsError(Exception):
+    """One line that says which setting is missing or makes no sense."""
+
+
+class Peer(msgspec.Struct):
+    member: Name
+    endpoint: Address
+    zone: str = ""
+
+
+class Endpoints(msgspec.Struct):
+    cloud: Address
+    state: Address
+
+
+class TeamSettings(msgspec.Struct):
+    name: Name
+    cpus: Amount = 0.0
+    cpus_max: Amount = 0.0
+    gpus: Amount = 0.0
+    gpus_max: Amount = 0.0
+
+
+class ObjectiveSettings(msgspec.Struct, rename={"job_class": "class"}):
+    kind: str
+    job_class: str | None = None
+    within_s: Amount | None = None
+
+
+class WorkerSettings(msgspec.Struct):
+    report_s: Positive
+    lease_s: Positive
+    cancel_s: Positive
+
+
+class StateSettings(msgspec.Struct):
+    rps: Positive
+    write_rps: Positive
+    value_kb: Positive
+    txn_ops: Annotated[int, Meta(ge=4)]
+
+
+class CloudSettings(msgspec.Struct):
+    rps: Positive
+    list_lag_s: Amount = 0.0
+
+
+class Resources(msgspec.Struct):
+    cores: Positive = 1.0
+    ram_mb: Positive = 256.0
+    max_sockets: Annotated[int, Meta(ge=16)] = 1000
+
+
+class Params(msgspec.Struct):
+    teams: list[TeamSettings]
+    workers: WorkerSettings
+    state: StateSettings
+    cloud: CloudSettings
+    objectives: list[ObjectiveSettings] = []
+    resources: Resources = msgspec.field(default_factory=Resources)
+
+
+class Settings(msgspec.Struct):
+    member: Name
+    listen: Address
+    peer_bind: Address
+    endpoints: Endpoints
+    settings: Params
+    zone: str = ""
+    peers: list[Peer] = []
+
+    def deployment(self, knobs: Knobs) -> Deployment:
+        params = self.settings
+        return Deployment(
+            member=self.member,
+            teams={
+                t.name: TeamLimits(Team(t.name), t.cpus, t.cpus_max, t.gpus, t.gpus_max)
+                for t in params.teams
+            },
+            objectives=tuple(Objective(o.kind, o.job_class, o.within_s) for o in params.objectives),
+            report_s=params.workers.report_s,
+            lease_s=params.workers.lease_s,
+            cancel_s=params.workers.cancel_s,
+            value_kb=params.state.value_kb,
+            txn_ops=params.state.txn_ops,
+            peers=tuple(peer.member for peer in self.peers),
+            knobs=knobs,
+        )
+
+
+def load(path: Path) -> Settings:
+    try:
+        raw = tomllib.loads(path.read_text())
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path}: not TOML: {error}") from error
+    return parse(raw, str(path))
+
+
+def parse(raw: object, origin: str) -> Settings:
+    try:
+        settings = msgspec.convert(raw, Settings)
+    except msgspec.ValidationError as error:
+        raise SettingsError(f"{origin}: {error}") from error
+    workers = settings.settings.workers
+    if workers.cancel_s <= workers.lease_s:
+        raise SettingsError(
+            f"{origin}: settings.workers.cancel_s must be more than lease_s, "
+            "or no cancellation could be kept while the state service is away"
+        )
+    if not settings.settings.teams:
+        raise SettingsError(f"{origin}: settings.teams is empty")
+    return settings
--- /dev/null
+++ b/src/crosscleat/wire/peers.py
@@ -0,0 +1,54 @@
+"""Messages between controllers: tagged tuples in frames of a four-byte length."""
+
+from __future__ import annotations
+
+import msgspec
+
+MOST_FRAME = 1 << 20
+
+
+class Hello(msgspec.Struct, array_like=True, tag="hello", frozen=True):
+    """The first frame of a link: who opened it."""
+
+    member: str
+
+
+class Ping(msgspec.Struct, array_like=True, tag="ping", frozen=True):
+    pass
+
+
+class Relay(msgspec.Struct, array_like=True, tag="relay", frozen=True):
+    """A worker's check-in, as its body came in."""
+
+    number: int
+    body: bytes
+
+
+class Relayed(msgspec.Struct, array_like=True, tag="relayed", frozen=True):
+    """The leader's answer to a relayed check-in."""
+
+    number: int
+    status: int
+    body: bytes
+
+
+class Counts(msgspec.Struct, array_like=True, tag="counts", frozen=True):
+    """Done and running tasks by job."""
+
+    jobs: dict[str, tuple[int, int]]
+
+
+Message = Hello | Ping | Relay | Relayed | Counts
+
+_decoder = msgspec.msgpack.Decoder(Message)
+_encoder = msgspec.msgpack.Encoder()
+
+
+def frame(message: Message) -> bytes:
+    body = _encoder.encode(message)
+    return len(body).to_bytes(4, "big") + body
+
+
+def parse(body: bytes) -> Message:
+    """Raises msgspec.DecodeError or ValidationError for what no controller sends."""
+    return _decoder.decode(body)
--- /dev/null
+++ b/src/crosscleat/wire/users.py
@@ -0,0 +1,124 @@
+"""Users' messages."""
+
+from __future__ import annotations
+
+import math
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import Meta
+
+from ..core.ids import Image, JobRef, Team, TypeName, Zone, is_job_ref
+from ..core.model import JobSpec, Priority
+
+MOST_BYTES = 64 * 1024
+MOST_TASKS = 100_000
+
+Amount = Annotated[float, Meta(ge=0.0, le=1e12)]
+Text = Annotated[str, Meta(min_length=1, max_length=200)]
+
+PRIORITIES = {
+    "low": Priority.LOW,
+    "standard": Priority.NORMAL,
+    "urgent": Priority.HIGH,
+    "prod": Priority.PRODUCTION,
+}
+
+
+class Work(msgspec.Struct):
+    """The body of POST /work."""
+
+    ref: Text
+    jobline: Text
+    crew: str
+    shape: Literal["array"]
+    urgency: Literal["prod", "urgent", "standard", "low"]
+    picks: Annotated[int, Meta(ge=1, le=MOST_TASKS)]
+    cores: Amount
+    gpus: Amount
+    memory_gb: Amount
+    kit: Text
+    image_gb: Amount
+    together: bool
+    apart: bool
+    loaners: bool
+    expect_s: Amount
+    stash_every_s: Amount
+    stash_s: Amount
+    rigs: list[str] | None = None
+    yard: str | None = None
+    due_s: Amount | None = None
+
+    def job(self) -> JobSpec:
+        return JobSpec(
+            ref=JobRef(self.ref),
+            job_class=self.jobline,
+            team=Team(self.crew),
+            priority=PRIORITIES[self.urgency],
+            tasks=self.picks,
+            cpus=self.cores,
+            gpus=self.gpus,
+            memory_gb=self.memory_gb,
+            image=Image(self.kit),
+            image_gb=self.image_gb,
+            types=None if self.rigs is None else tuple(TypeName(rig) for rig in self.rigs),
+            zone=None if self.yard is None else Zone(self.yard),
+            one_zone=self.together,
+            spread=self.apart,
+            spot=self.loaners,
+            estimate_s=self.expect_s,
+            checkpoint_s=self.stash_every_s,
+            save_s=self.stash_s,
+            deadline_s=self.due_s,
+        )
+
+
+_decoder = msgspec.msgpack.Decoder(Work)
+_any_decoder = msgspec.msgpack.Decoder()
+
+
+def parse_work(body: bytes) -> JobSpec | JobRef | None:
+    """The job described; or, of a malformed body, the job's name if it can be made out."""
+    try:
+        work = _decoder.decode(body)
+    except (msgspec.DecodeError, ValueError, RecursionError):
+        return _name_in(body)
+    if not is_job_ref(work.ref):
+        return None
+    if not _fits(body) or not all(map(math.isfinite, _amounts(work))):
+        return JobRef(work.ref)
+    return work.job()
+
+
+def _fits(body: bytes) -> bool:
+    """The size limit counts JSON, which seldom is more than four times as long."""
+    if len(body) > MOST_BYTES:
+        return False
+    if len(body) * 4 <= MOST_BYTES:
+        return True
+    try:
+        return len(msgspec.json.encode(_any_decoder.decode(body))) <= MOST_BYTES
+    except (TypeError, ValueError):
+        return False
+
+
+def _amounts(work: Work) -> tuple[float, ...]:
+    return (
+        work.cores,
+        work.gpus,
+        work.memory_gb,
+        work.image_gb,
+        work.expect_s,
+        work.stash_every_s,
+        work.stash_s,
+        work.due_s or 0.0,
+    )
+
+
+def _name_in(body: bytes) -> JobRef | None:
+    try:
+        raw: Any = _any_decoder.decode(body)
+    except (msgspec.DecodeError, ValueError, RecursionError, TypeError):
+        return None
+    ref = raw.get("ref") if isinstance(raw, dict) else None
+    return JobRef(ref) if isinstance(ref, str) and is_job_ref(ref) else None
--- /dev/null
+++ b/src/crosscleat/wire/workers.py
@@ -0,0 +1,92 @@
+"""Workers' messages."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from ..core import reports
+from ..core.effects import ClearOrder, Order, StartOrder
+from ..core.ids import Attempt, MachineId, Seen, Session, TaskId, Token, TypeName, Zone
+from ..core.reports import Report, TaskReport
+
+STATES = {
+    "pulling": reports.FETCHING,
+    "running": reports.RUNNING,
+    "flushing": "saving",
+    "exited": reports.EXITED,
+}
+
+
+class Pick(msgspec.Struct, rename={"attempt": "try"}):
+    pick: str
+    attempt: int
+    status: str
+    cause: str | None = None
+
+
+class CheckIn(msgspec.Struct):
+    """The body of POST /checkin, and of every answer of a worker."""
+
+    box: str
+    addr: str
+    rig: str
+    yard: str
+    loaners: bool
+    shift: int
+    tally: int
+    baton: int
+    picks: list[Pick]
+    recall_s: float | None = None
+
+
+_decoder = msgspec.msgpack.Decoder(CheckIn)
+_encoder = msgspec.msgpack.Encoder()
+
+
+def parse_check_in(body: bytes) -> Report | None:
+    try:
+        raw = _decoder.decode(body)
+    except (msgspec.DecodeError, ValueError, RecursionError):
+        return None
+    tasks = []
+    for pick in raw.picks:
+        task = TaskId.parse(pick.pick)
+        if task is not None:
+            state = STATES.get(pick.status, pick.status)
+            tasks.append(TaskReport(task, Attempt(pick.attempt), state, pick.cause))
+    return Report(
+        machine=MachineId(raw.box),
+        address=raw.addr,
+        type=TypeName(raw.rig),
+        zone=Zone(raw.yard),
+        spot=raw.loaners,
+        seen=Seen(Session(raw.shift), raw.tally),
+        token=raw.baton,
+        notice_s=raw.recall_s,
+        tasks=tuple(tasks),
+    )
+
+
+def _order(order: Order) -> dict[str, Any]:
+    if isinstance(order, StartOrder):
+        return {"verb": "start", "pick": order.task, "try": order.attempt}
+    if isinstance(order, ClearOrder):
+        return {"verb": "clear", "pick": order.task, "try": order.attempt}
+    return {
+        "verb": "stop",
+        "pick": order.task,
+        "try": order.attempt,
+        "wind_down_s": order.grace_s,
+    }
+
+
+def answer(token: Token, orders: tuple[Order, ...]) -> bytes:
+    return _encoder.encode({"baton": token, "orders": [_order(o) for o in orders]})
+
+
+def direct(token: Token, session: Session, orders: tuple[Order, ...]) -> bytes:
+    return _encoder.encode(
+        {"baton": token, "shift": session, "orders": [_order(o) for o in orders]}
+    )
