--- a/src/crosscleat/adapters/http_server.py
+++ b/src/crosscleat/adapters/http_server.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import msgspec
 from aiohttp import web
@@ -29,24 +30,71 @@
 _encoder = msgspec.msgpack.Encoder()
 
 
+class Connection(RequestHandler):
+    """One connection, entered in the server's table of those that are open."""
+
+    def __init__(self, server: web.Server, open_: dict[Connection, None], **options: Any) -> None:
+        super().__init__(server, **options)
+        self.open = open_
+
+    __slots__ = ("open",)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self.open[self] = None
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        self.open.pop(self, None)
+        super().connection_lost(exc)
+
+
 class HttpServer:
     """One door for all: it tells requests apart, bounds them, and asks the controller."""
 
-    def __init__(self, ask: Ask, check_in: CheckIn, ready: Callable[[], bool]) -> None:
+    def __init__(self, ask: Ask, check_in: CheckIn, most: int) -> None:
         self._ask = ask
         self._check_in = check_in
-        self._ready = ready
-        self._server = web.Server(self._handle, access_log=None)
+        self._most = most
+        self._server = web.Server(self._handle)
+        self._open: dict[Connection, None] = {}
+        self._busy: set[Connection] = set()
 
     async def start(self, address: str) -> None:
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         await loop.create_server(self._protocol, host, int(port), backlog=512)
 
-    def _protocol(self) -> RequestHandler:
-        return self._server()
+    def _protocol(self) -> Connection:
+        if len(self._open) >= self._most:
+            self._make_room()
+        loop = asyncio.get_running_loop()
+        return Connection(self._server, self._open, loop=loop, access_log=None)
+
+    def _make_room(self) -> None:
+        """Close the connection that has been without a request for longest.
+
+        Clients that connect and say nothing must not use up the sockets of all others.
+        """
+        for connection in self._open:
+            if connection not in self._busy and connection.transport is not None:
+                connection.transport.abort()
+                del self._open[connection]
+                return
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        connection = request.protocol
+        assert isinstance(connection, Connection)
+        self._busy.add(connection)
+        try:
+            return await self._route(request)
+        finally:
+            self._busy.discard(connection)
+            if connection in self._open:
+                # The table is kept in the order of last use.
+                del self._open[connection]
+                self._open[connection] = None
+
+    async def _route(self, request: web.BaseRequest) -> web.StreamResponse:
         path = request.path
         method = request.method
         if path == "/checkin" and method == "POST":
@@ -63,7 +111,7 @@
                 return _closing(400)
             return await self._submit(body)
         if path == "/ready" and method == "GET":
-            return web.Response(status=200 if self._ready() else 503)
+            return web.Response()
         return _closing(404)
 
     async def _submit(self, body: bytes) -> web.Response:
--- a/src/crosscleat/app.py
+++ b/src/crosscleat/app.py
@@ -48,6 +48,8 @@
 
 TICK_S = 0.1
 USER_S = 4.0
+LISTEN_SHARE = 0.6
+"""The part of the sockets that users and workers may hold; the rest is for what we open."""
 NOT_NOW = (503, b"")
 
 log = logging.getLogger("crosscleat")
@@ -92,8 +94,9 @@
         }
 
     async def run(self) -> None:
+        most = self._settings.settings.resources.max_sockets
         peers = PeerServer(set(self._links), self._answer_relay, self._counts)
-        server = HttpServer(self._ask, self._check_in, lambda: True)
+        server = HttpServer(self._ask, self._check_in, int(most * LISTEN_SHARE))
         await peers.start(self._settings.peer_bind)
         async with asyncio.TaskGroup() as group:
             group.create_task(self._state.run())
--- a/src/crosscleat/core/leader.py
+++ b/src/crosscleat/core/leader.py
@@ -125,6 +125,8 @@
         self.tombstones: dict[MachineId, Seconds] = {}
         """Machines that are gone, and since when: old reports of them may still arrive."""
         self._garbage: deque[tuple[str, Version]] = deque()
+        self._unwritten = True
+        """Starts, ends or deletions may wait to be written; progress waits for its own time."""
         self._drops_done: deque[tuple[Seconds, str, Version]] = deque()
         self._writing = False
         self.retired = False
@@ -230,13 +232,14 @@
             elif change.version > job.version:
                 job.version = change.version
                 job.settling = False
+                self._unwritten = True
                 if change.value["aborted"]:
                     self._abort(job)
 
     def _abort(self, job: Job) -> None:
         if job.aborted:
             return
-        job.aborted = True
+        job.aborted = self._unwritten = True
         for machine, hold in list(self._holds_of(job)):
             self._withdraw(machine, hold, 0.0)
 
@@ -373,7 +376,7 @@
     def _gone(self, machine: Machine, hold: Hold, now: Seconds, cause: str | None) -> None:
         """The attempt is proven gone, by its exit's cause or, with None, without a result."""
         self.ledger.remove(machine, hold)
-        self._changed = True
+        self._changed = self._unwritten = True
         job = self.jobs.get(hold.task.job)
         if job is None or not job.is_current(hold.task.number, hold.attempt):
             return
@@ -545,7 +548,7 @@
     def drop(self, machine: Machine, why: str) -> None:
         """Decide to delete it: recorded first, then final."""
         if not machine.dropping:
-            machine.dropping = True
+            machine.dropping = self._unwritten = True
             self.out.note("info", f"machine {machine.id}: returned ({why})")
 
     def _delete_recorded(self, now: Seconds) -> None:
@@ -735,6 +738,7 @@
         ):
             return
         task, attempt = job.place(machine.id, machine.seen.session)
+        self._unwritten = True
         hold = Hold(
             task, attempt, spec, machine.id, machine.zone, machine.seen.session, placed_at=now
         )
@@ -847,8 +851,11 @@
         if self._rotate_wanted and now - self._rotated_at > ROTATE_S:
             self._rotate(now)
             return
-        batch = Batch(token, self.deployment.txn_ops, self.deployment.value_kb)
         lazy = now - self._lazy_flush >= LAZY_S
+        if not lazy and not self._unwritten:
+            return
+        self._unwritten = False
+        batch = Batch(token, self.deployment.txn_ops, self.deployment.value_kb)
         for machine in self.ledger.machines.values():
             if machine.dropping and not machine.drop_recorded and batch.room(1):
                 batch.drops.append(machine)
@@ -906,6 +913,7 @@
             self._write(batch)
             return
         self._writing = False
+        self._unwritten = True
         if isinstance(result, Committed):
             self._recorded(batch, result.revision)
         elif isinstance(result, Conflict) and self._only_live(batch, result):
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,84 @@
+"""The HTTP door on loopback: odd requests, and clients that say nothing."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from crosscleat.adapters.http_server import HttpServer
+from crosscleat.core.controller import Abort, Poll, Refuse, Submit
+from crosscleat.core.effects import Answer
+
+
+class Door:
+    """A server whose controller answers everything at once and remembers what it was asked."""
+
+    def __init__(self, most: int) -> None:
+        self.asked: list[Any] = []
+        self.server = HttpServer(self.ask, self.check_in, most)
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            self.address = f"127.0.0.1:{free.getsockname()[1]}"
+
+    async def ask(self, make: Callable[[int], Any]) -> Answer | None:
+        self.asked.append(make(len(self.asked)))
+        if isinstance(self.asked[-1], Refuse):
+            return Answer(0, self.asked[-1].status)
+        return Answer(0, 503, None, 1) if isinstance(self.asked[-1], Abort) else None
+
+    async def check_in(self, body: bytes) -> tuple[int, bytes]:
+        return 200, body
+
+
+async def call(door: Door, method: str, path: str, body: bytes | None = None) -> tuple[int, Any]:
+    async with (
+        aiohttp.ClientSession() as session,
+        session.request(method, f"http://{door.address}{path}", data=body) as response,
+    ):
+        await response.read()
+        return response.status, response.headers.get("Retry-After")
+
+
+def test_requests_reach_the_controller_or_are_refused() -> None:
+    async def run() -> None:
+        door = Door(50)
+        await door.server.start(door.address)
+        assert await call(door, "GET", "/ready") == (200, None)
+        assert await call(door, "GET", "/nowhere") == (404, None)
+        assert await call(door, "GET", "/work/not-a-job") == (404, None)
+        assert await call(door, "POST", "/checkin", b"report") == (200, None)
+        assert door.asked == []
+        # No answer in time and a refusal both tell the user when to come back.
+        assert await call(door, "GET", "/work/job-1") == (503, "1")
+        assert await call(door, "POST", "/work/job-1/abort", b"") == (503, "1")
+        assert await call(door, "POST", "/work", b"\xc1") == (400, None)
+        named = msgspec.msgpack.encode({"ref": "job-2", "picks": "many"})
+        assert await call(door, "POST", "/work", named) == (400, None)
+        assert [type(asked) for asked in door.asked] == [Poll, Abort, Refuse, Refuse]
+        assert [asked.ref for asked in door.asked] == ["job-1", "job-1", None, "job-2"]
+        assert await call(door, "POST", "/work", b"x" * 70_000) == (400, None)
+        assert not any(isinstance(asked, Submit) for asked in door.asked)
+
+    asyncio.run(run())
+
+
+def test_silent_clients_do_not_use_up_the_sockets() -> None:
+    async def run() -> None:
+        door = Door(5)
+        await door.server.start(door.address)
+        host, _, port = door.address.rpartition(":")
+        silent = [await asyncio.open_connection(host, int(port)) for _ in range(12)]
+        assert await call(door, "GET", "/ready") == (200, None)
+        # The oldest were closed; the newest are still open.
+        assert await silent[0][0].read() == b""
+        silent[-1][1].write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert (await silent[-1][0].readline()).startswith(b"HTTP/1.1 200")
+        for _, writer in silent:
+            writer.close()
+
+    asyncio.run(run())
