--- a/src/crosscleat/core/controller.py
+++ b/src/crosscleat/core/controller.py
@@ -26,9 +26,10 @@
 from .election import Election
 from .front import Front
 from .ids import LONG_AGO, JobRef, Member, Seconds, Token, TypeName, Version, WallTime
-from .jobs import LIVE, WORK
-from .leader import DROP, Leader
+from .jobs import LIVE
+from .leader import Leader
 from .model import Deployment, JobSpec, MachineType
+from .records import DROP, WORK
 from .reports import Report
 
 PROGRESS_S = 1.0
--- a/src/crosscleat/core/jobs.py
+++ b/src/crosscleat/core/jobs.py
@@ -1,21 +1,19 @@
 """Jobs as the leader holds them, and the records that keep jobs in the store.
 
 `live/<ref>` holds the spec and whether its user cancelled it, `ended/<ref>` the final
-outcome, and `work/<ref>/<n>` the tasks of one stretch: which are done, and which attempt
-of the others may be on which machine.
+outcome. A stretch of tasks, kept in one of the leader's records (`records`), says which are
+done, and which attempt of the others may be on which machine.
 """
 
 from __future__ import annotations
 
 import heapq
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 import msgspec
 
-from .effects import Item, Record
+from .effects import Record
 from .ids import (
-    ABSENT,
     Attempt,
     JobRef,
     MachineId,
@@ -29,9 +27,8 @@
 
 LIVE = "live/"
 ENDED = "ended/"
-WORK = "work/"
 STRETCH = 200
-"""Tasks in one record: at some 30 bytes each it stays well below the smallest value limit."""
+"""Tasks that are kept together: at 40 bytes each they fit the smallest value limit."""
 
 
 def live_key(ref: JobRef) -> str:
@@ -42,15 +39,6 @@
     return ENDED + ref
 
 
-def work_key(ref: JobRef, stretch: int) -> str:
-    return f"{WORK}{ref}/{stretch}"
-
-
-def parse_work_key(key: str) -> tuple[JobRef, int]:
-    ref, _, stretch = key.removeprefix(WORK).rpartition("/")
-    return JobRef(ref), int(stretch)
-
-
 def live_record(spec: JobSpec, submitted: WallTime, aborted: bool) -> Record:
     return {"spec": msgspec.to_builtins(spec), "at": submitted, "aborted": aborted}
 
@@ -70,21 +58,24 @@
     session: Session
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Stretch:
-    """Up to STRETCH consecutive tasks, kept in one record."""
+    """Up to STRETCH consecutive tasks, kept together in one record."""
 
     number: int
-    version: Version = ABSENT
+    record: int | None = None
+    """The number of the record that keeps it."""
     placed: dict[int, Placement] = field(default_factory=dict)
     tries: dict[int, Attempt] = field(default_factory=dict)
     recorded: frozenset[tuple[int, Attempt]] = frozenset()
     """The attempts that the stored record says may be on a machine."""
-    dirty: bool = False
-    urgent: bool = False
 
+    def unrecorded(self) -> bool:
+        """Whether an attempt is entered that the store does not have."""
+        return any((i, p.attempt) not in self.recorded for i, p in self.placed.items())
 
-@dataclass(slots=True)
+
+@dataclass(slots=True, eq=False)
 class Job:
     spec: JobSpec
     version: Version
@@ -146,7 +137,6 @@
         attempt = Attempt(stretch.tries.get(index, 0) + 1)
         stretch.tries[index] = attempt
         stretch.placed[index] = Placement(attempt, machine, session)
-        stretch.dirty = stretch.urgent = True
         return TaskId(self.ref, index), attempt
 
     def is_current(self, index: int, attempt: Attempt) -> bool:
@@ -160,7 +150,6 @@
         stretch = self.stretch_of(index)
         stretch.placed.pop(index, None)
         stretch.tries.pop(index, None)
-        stretch.dirty = True
         if not self.done[index]:
             self.done[index] = 1
             self.done_count += 1
@@ -171,13 +160,13 @@
         """The task's current attempt is proven gone without result."""
         stretch = self.stretch_of(index)
         stretch.placed.pop(index, None)
-        stretch.dirty = True
         if not_before is None:
             self.again.append(index)
         else:
             heapq.heappush(self.resting, (not_before, index))
 
-    def work_record(self, stretch: Stretch) -> Record:
+    def work_record(self, stretch: Stretch) -> tuple[Record, Record]:
+        """What a record keeps of the stretch: the tasks done, and the attempts of others."""
         first = stretch.number * STRETCH
         last = min(first + STRETCH, self.spec.tasks)
         rows: list[list[int | str]] = []
@@ -187,23 +176,22 @@
                 rows.append([index, attempt])
             else:
                 rows.append([index, attempt, placement.machine, placement.session])
-        return {"done": _ranges(self.done, first, last), "tries": rows}
+        return _ranges(self.done, first, last), rows
 
-    def load_work(self, item: Item) -> None:
+    def load_work(self, number: int, done: Record, rows: Record) -> Stretch:
         """Take over a stretch as an earlier leader left it."""
-        _, number = parse_work_key(item.key)
-        stretch = Stretch(number, version=item.version)
-        self.stretches[number] = stretch
-        for start, end in item.value["done"]:
+        stretch = self.stretches[number] = Stretch(number)
+        for start, end in done:
             for index in range(start, end):
                 self.done[index] = 1
-        for row in item.value["tries"]:
+        for row in rows:
             index, attempt = row[0], Attempt(row[1])
             stretch.tries[index] = attempt
             if len(row) > 2:
                 placement = Placement(attempt, MachineId(row[2]), Session(row[3]))
                 stretch.placed[index] = placement
         stretch.recorded = frozenset((i, p.attempt) for i, p in stretch.placed.items())
+        return stretch
 
     def loaded(self) -> None:
         """All stretches are in: work out what waits."""
@@ -241,10 +229,3 @@
         found.append([index, end])
         index = flags.find(1, end, last)
     return found
-
-
-def group_work(items: Iterable[Item]) -> dict[JobRef, list[Item]]:
-    grouped: dict[JobRef, list[Item]] = {}
-    for item in items:
-        grouped.setdefault(parse_work_key(item.key)[0], []).append(item)
-    return grouped
--- a/src/crosscleat/core/leader.py
+++ b/src/crosscleat/core/leader.py
@@ -50,25 +50,14 @@
     WallTime,
     Zone,
 )
-from .jobs import (
-    STRETCH,
-    Job,
-    Placement,
-    Stretch,
-    ended_key,
-    ended_record,
-    group_work,
-    live_key,
-    spec_of,
-    work_key,
-)
+from .jobs import STRETCH, Job, Placement, Stretch, ended_key, ended_record, live_key, spec_of
 from .model import Deployment, MachineType, Shape
 from .placements import NOWHERE, AttemptKey, Hold, Ledger, Machine
+from .records import DropRecord, DropRecords, WorkRecord, WorkRecords
 from .reports import ListedMachine, Report, TaskReport
 from .rounds import Round, fetch_time, troubled, within
 from .scoring import RunTimes, Scorer
 
-DROP = "drop/"
 MARGIN_S = 1.5
 """Kept free of cancel_s for messages and timers."""
 DRIFT = 1.001
@@ -84,6 +73,9 @@
 UNHEARD_S = 5.0
 """No machine at all was heard for so long: the fault is with us."""
 MOST_ORDERS = 300
+MOST_DROPS = 100
+MOST_BYTES = 48 * 1024
+"""64 KiB is the limit for a whole transaction: leave room for conditions and ends."""
 MOST_CHOICES = 48
 SUSPECT_JOBS = 2
 TOMBSTONE_S = 900.0
@@ -91,10 +83,6 @@
 UNKNOWN_TYPE = MachineType(TypeName(""), 0.0, 0.0, 0.0, 0.0, 1.0, 0.0, 0.0, 0.0, ())
 
 
-def drop_key(machine: MachineId) -> str:
-    return DROP + machine
-
-
 class Leader:
     def __init__(
         self,
@@ -117,6 +105,8 @@
         self._wall_offset = wall - now
         self.jobs: dict[JobRef, Job] = {}
         self.ledger = Ledger()
+        self.work = WorkRecords(deployment.value_kb, deployment.txn_ops)
+        self.drops = DropRecords()
         self.run_times = RunTimes()
         self.scorer = Scorer(deployment, self.run_times)
         self.fleet = Fleet(deployment.knobs, self.scorer.due)
@@ -128,7 +118,9 @@
         self._garbage: deque[tuple[str, Version]] = deque()
         self._unwritten = True
         """Starts, ends or deletions may wait to be written; progress waits for its own time."""
-        self._drops_done: deque[tuple[Seconds, str, Version]] = deque()
+        self._ending: dict[JobRef, Job] = {}
+        """Jobs that are over, but for the transaction that says so."""
+        self._drops_done: deque[tuple[Seconds, MachineId]] = deque()
         self._writing = False
         self.retired = False
         """Another term has begun or none: late answers must not act for this one."""
@@ -150,28 +142,28 @@
     # Taking over
 
     def load(self, live: list[Item], work: list[Item], drops: list[Item], now: Seconds) -> None:
-        grouped = group_work(work)
         for item in live:
-            self._load_job(item, grouped.pop(JobRef(item.key.partition("/")[2]), []), now)
-        for orphans in grouped.values():
-            # Their job has ended; the transaction that ended it had no room to remove them.
-            self._garbage.extend((item.key, item.version) for item in orphans)
-        for item in drops:
-            machine_id = MachineId(item.key.removeprefix(DROP))
+            job = self._read_job(item, now)
+            self.jobs[job.ref] = job
+        self.work.load(work, self.jobs)
+        for item, job in zip(live, list(self.jobs.values()), strict=True):
+            job.loaded()
+            self._load_holds(job, now)
+            if item.value["aborted"]:
+                self._abort(job)
+            self._see_end(job)
+        for machine_id in self.drops.load(drops):
             machine = self.ledger.machines.get(machine_id) or self._shell(machine_id, now)
             machine.dropping = machine.drop_recorded = True
-            machine.drop_version = item.version
 
-    def _load_job(self, item: Item, work: list[Item], now: Seconds) -> None:
+    def _read_job(self, item: Item, now: Seconds) -> Job:
         wall = WallTime(item.value["at"])
         submitted = Seconds(min(now, wall - self._wall_offset))
-        job = Job(spec_of(item.value), item.version, submitted)
-        for stretch in work:
-            job.load_work(stretch)
-        job.loaded()
-        self.jobs[job.ref] = job
-        for stretch_ in job.stretches.values():
-            for index, placed in stretch_.placed.items():
+        return Job(spec_of(item.value), item.version, submitted)
+
+    def _load_holds(self, job: Job, now: Seconds) -> None:
+        for stretch in job.stretches.values():
+            for index, placed in stretch.placed.items():
                 machine = self.ledger.machines.get(placed.machine) or self._shell(
                     placed.machine, now
                 )
@@ -187,8 +179,6 @@
                     placed_at=now,
                 )
                 self.ledger.add(machine, hold)
-        if item.value["aborted"]:
-            self._abort(job)
 
     def _shell(self, machine_id: MachineId, now: Seconds) -> Machine:
         """A machine that a record names and that nobody has described yet."""
@@ -228,10 +218,11 @@
             if change.version == 0:
                 continue
             if job is None:
-                self._load_job(change, [], now)
-                job = self.jobs[ref]
+                job = self.jobs[ref] = self._read_job(change, now)
                 self.fleet.demand.arrived(job, now)
                 self._changed = True
+                if change.value["aborted"]:
+                    self._abort(job)
             elif change.version > job.version:
                 job.version = change.version
                 job.settling = False
@@ -245,6 +236,11 @@
         job.aborted = self._unwritten = True
         for machine, hold in list(self._holds_of(job)):
             self._withdraw(machine, hold, 0.0)
+        self._see_end(job)
+
+    def _see_end(self, job: Job) -> None:
+        if job.over():
+            self._ending[job.ref] = job
 
     def _withdraw(self, machine: Machine, hold: Hold, grace_s: float) -> None:
         """Stop the attempt; its hold stays until it is proven gone."""
@@ -384,10 +380,16 @@
         if job is None or not job.is_current(hold.task.number, hold.attempt):
             return
         index = hold.task.number
+        self.work.of(job, job.stretch_of(index)).want(None, now)
         if cause == "done":
             job.finish(index)
+            self._see_end(job)
             return
-        if job.spec.shape is Shape.GANG and not job.aborted:
+        if job.aborted:
+            job.requeue(index, None)
+            self._see_end(job)
+            return
+        if job.spec.shape is Shape.GANG:
             self._disband(job)
         if cause is None or cause == "stopped":
             job.requeue(index, None)
@@ -584,7 +586,7 @@
                 self._gone(machine, hold, now, None)
             self.ledger.machines.pop(machine.id, None)
             self.tombstones[machine.id] = now
-            self._drops_done.append((now, drop_key(machine.id), machine.drop_version))
+            self._drops_done.append((now, machine.id))
 
     def _watch_machines(self, now: Seconds) -> None:
         d = self.deployment
@@ -702,9 +704,11 @@
         for machine_id in old:
             del self.tombstones[machine_id]
         # Kept for a while, so that a successor too knows old reports for what they are.
-        while self._drops_done and now - self._drops_done[0][0] > DROP_KEPT_S:
-            _, key, version = self._drops_done.popleft()
-            self._garbage.append((key, version))
+        # Not under a write, which may be changing the very record.
+        while not self._writing and self._drops_done and now - self._drops_done[0][0] > DROP_KEPT_S:
+            empty = self.drops.forget(self._drops_done.popleft()[1])
+            if empty is not None and empty.version:
+                self._garbage.append((empty.key, empty.version))
 
     def _round(self, now: Seconds) -> None:
         if not self.may_start(now) or not self.fleet.types:
@@ -745,6 +749,7 @@
         ):
             return
         task, attempt = job.place(machine.id, machine.seen.session)
+        self.work.of(job, job.stretch_of(task.number)).want(spec.priority, now)
         self._unwritten = True
         hold = Hold(
             task, attempt, spec, machine.id, machine.zone, machine.seen.session, placed_at=now
@@ -861,38 +866,42 @@
         if not lazy and not self._unwritten:
             return
         self._unwritten = False
-        batch = Batch(token, self.deployment.txn_ops, self.deployment.value_kb)
-        for machine in self.ledger.machines.values():
-            if machine.dropping and not machine.drop_recorded and batch.room(1):
-                batch.drops.append(machine)
-                batch.writes.append(Put(drop_key(machine.id), {"why": "returned"}))
-        # The region's few writes a second go to starts first, then to ends, which users poll for;
-        # what only spares a successor some work gets a little at a time.
-        jobs = sorted(self.jobs.values(), key=lambda job: -job.spec.priority)
-        for job in jobs:
-            self._collect(batch, job, urgent_only=True)
+        batch = Batch(token, self.deployment.txn_ops)
+        # The region's few writes a second go to starts first, then to deletions and to ends, which
+        # users poll for; what only spares a successor some work gets a little at a time.
+        for record in self.work.urgent(now):
+            batch.record(record)
+        self._record_drops(batch)
         batch.limit(ENDS_WRITES)
-        for job in jobs:
-            if job.over() and not job.settling and batch.room(3):
+        for job in self._ending.values():
+            if not job.settling and batch.room(2, 1):
                 batch.end(job)
         if lazy:
             self._lazy_flush = now
             batch.limit(LAZY_WRITES)
-            for job in jobs:
-                self._collect(batch, job, urgent_only=False)
-            while self._garbage and batch.room(1):
-                key, version = self._garbage.popleft()
-                batch.conditions[key] = version
-                batch.writes.append(Remove(key))
+            for record in self.work.lazy():
+                self._record_lazily(batch, record)
+            while self._garbage and batch.room(1, 1):
+                batch.remove(*self._garbage.popleft())
         if batch.writes:
             self._write(batch)
 
-    def _collect(self, batch: Batch, job: Job, urgent_only: bool) -> None:
-        if job.settling or job.over():
-            return
-        for stretch in job.stretches.values():
-            if stretch.dirty and (stretch.urgent or not urgent_only) and batch.room(1):
-                batch.record(job, stretch)
+    def _record_drops(self, batch: Batch) -> None:
+        found = [m for m in self.ledger.machines.values() if m.dropping and not m.drop_recorded]
+        if found and batch.room(1, 1):
+            batch.drops = found[:MOST_DROPS]
+            batch.drop_record = self.drops.open()
+            batch.put(batch.drop_record.put(m.id for m in batch.drops), batch.drop_record.version)
+
+    def _record_lazily(self, batch: Batch, record: WorkRecord) -> None:
+        if record.members:
+            batch.record(record)
+        elif not record.version:
+            self.work.removed(record)
+        elif batch.room(1, 1):
+            record.closing = True
+            batch.closing.append(record)
+            batch.remove(record.key, record.version)
 
     def _write(self, batch: Batch) -> None:
         self._writing = True
@@ -927,41 +936,52 @@
     def _recorded(self, batch: Batch, revision: Version) -> None:
         for machine in batch.drops:
             machine.drop_recorded = True
-            machine.drop_version = revision
+        if batch.drop_record is not None:
+            batch.drop_record.version = revision
+            batch.drop_record.names.update((m.id, None) for m in batch.drops)
+        for record in batch.records:
+            record.version = revision
+        for record in batch.closing:
+            self.work.removed(record)
         for job, stretch, recorded in batch.stretches:
-            stretch.version = revision
+            fresh = recorded - stretch.recorded
             stretch.recorded = recorded
-            for index, placed in stretch.placed.items():
-                found = self._hold_of(job, index, placed)
-                if found is None or (index, placed.attempt) not in recorded:
+            for index, attempt in fresh:
+                placed = stretch.placed.get(index)
+                found = placed and self._hold_of(job, index, placed)
+                if not found or placed is None or placed.attempt != attempt:
                     continue
                 machine, hold = found
-                if not hold.recorded:
-                    hold.recorded = True
-                    if not hold.withdrawn:
-                        self._kick.add(machine.id)
+                hold.recorded = True
+                if not hold.withdrawn:
+                    self._kick.add(machine.id)
         for job in batch.ended:
             del self.jobs[job.ref]
+            del self._ending[job.ref]
+            self.work.forget(job)
             self._progress_sent.pop(job.ref, None)
-            for stretch in job.stretches.values():
-                key = work_key(job.ref, stretch.number)
-                if stretch.version and key not in batch.removed:
-                    self._garbage.append((key, stretch.version))
             self.out.note("debug", f"job {job.ref} over")
 
     def _put_back(self, batch: Batch, failed: frozenset[str]) -> None:
         """A user cancelled meanwhile: that job's placements were never sent, so they are void."""
-        for job, stretch, _ in batch.stretches:
-            stretch.dirty = True
-            stretch.urgent = True
-            if live_key(job.ref) in failed:
-                for machine, hold in list(self._holds_of(job)):
-                    if not hold.recorded:
-                        self._gone(machine, hold, self.now, None)
+        for record in batch.closing:
+            record.closing = False
         for job in batch.jobs:
-            if live_key(job.ref) in failed and batch.conditions[live_key(job.ref)] == job.version:
+            if live_key(job.ref) not in failed:
+                continue
+            for machine, hold in list(self._holds_of(job)):
+                if not hold.recorded:
+                    self._gone(machine, hold, self.now, None)
+            if batch.conditions[live_key(job.ref)] == job.version:
                 job.settling = True
                 self._reread(job)
+        for record in batch.records:
+            urgent = [
+                job.spec.priority
+                for job, stretch in record.members.values()
+                if stretch.unrecorded()
+            ]
+            record.want(max(urgent, default=None), self.now)
 
     def _reread(self, job: Job) -> None:
         def read(found: Found | None) -> None:
@@ -1003,50 +1023,64 @@
 class Batch:
     """One leader's transaction in the making."""
 
-    def __init__(self, token: int, most: int, value_kb: float) -> None:
+    def __init__(self, token: int, most: int) -> None:
         self.conditions: dict[str, Version] = {LEADER: Version(token)}
         self.writes: list[Put | Remove] = []
         self.drops: list[Machine] = []
-        self.jobs: list[Job] = []
+        self.drop_record: DropRecord | None = None
+        self.jobs: dict[Job, None] = {}
+        """Those whose live record is compared."""
         self.ended: list[Job] = []
-        self.removed: set[str] = set()
+        self.records: list[WorkRecord] = []
+        self.closing: list[WorkRecord] = []
         self.stretches: list[tuple[Job, Stretch, frozenset[tuple[int, Attempt]]]] = []
         self._most = most
-        # 64 KiB is the limit for a whole transaction: leave room for conditions.
-        self._stretches_left = max(1, int(48 / min(8.0, value_kb)))
-
-    def room(self, writes: int) -> bool:
-        return len(self.writes) + writes <= self._most
+        self._most_conditions = 4 * most
+        self._bytes_left = MOST_BYTES
 
-    def _compare_job(self, job: Job) -> None:
-        self.conditions[live_key(job.ref)] = job.version
-        self.jobs.append(job)
+    def room(self, writes: int, conditions: int) -> bool:
+        return (
+            len(self.writes) + writes <= self._most
+            and len(self.conditions) + writes + conditions <= self._most_conditions
+        )
 
     def limit(self, more: int) -> None:
         """From here on, only so many writes more."""
         self._most = min(self._most, len(self.writes) + more)
 
+    def put(self, write: Put, version: Version) -> None:
+        self.conditions[write.key] = version
+        self.writes.append(write)
+
+    def remove(self, key: str, version: Version) -> None:
+        self.conditions[key] = version
+        self.writes.append(Remove(key))
+
+    def _compare_job(self, job: Job) -> None:
+        self.conditions[live_key(job.ref)] = job.version
+        self.jobs[job] = None
+
     def end(self, job: Job) -> None:
         self._compare_job(job)
         record = ended_record(job.spec.tasks, aborted=job.aborted)
         self.writes.append(Put(ended_key(job.ref), record))
         self.writes.append(Remove(live_key(job.ref)))
-        for stretch in job.stretches.values():
-            if stretch.version and self.room(1):
-                key = work_key(job.ref, stretch.number)
-                self.conditions[key] = stretch.version
-                self.writes.append(Remove(key))
-                self.removed.add(key)
         self.ended.append(job)
 
-    def record(self, job: Job, stretch: Stretch) -> None:
-        if self._stretches_left <= 0:
+    def record(self, record: WorkRecord) -> None:
+        """Write it, if there is room, comparing each job of which an attempt is new."""
+        starting = [job for job, stretch in record.members.values() if stretch.unrecorded()]
+        if record in self.records or record.size > self._bytes_left:
             return
-        self._stretches_left -= 1
-        key = work_key(job.ref, stretch.number)
-        self._compare_job(job)
-        self.conditions[key] = stretch.version
-        self.writes.append(Put(key, job.work_record(stretch)))
-        recorded = frozenset((i, p.attempt) for i, p in stretch.placed.items())
-        self.stretches.append((job, stretch, recorded))
-        stretch.dirty = stretch.urgent = False
+        if not self.room(1, len(starting)):
+            return
+        self._bytes_left -= record.size
+        for job in starting:
+            self._compare_job(job)
+        self.put(Put(record.key, record.value()), record.version)
+        self.records.append(record)
+        for job, stretch in record.members.values():
+            recorded = frozenset((i, p.attempt) for i, p in stretch.placed.items())
+            self.stretches.append((job, stretch, recorded))
+        record.dirty = False
+        record.urgent = None
--- a/src/crosscleat/core/placements.py
+++ b/src/crosscleat/core/placements.py
@@ -16,7 +16,6 @@
 from dataclasses import dataclass, field
 
 from .ids import (
-    ABSENT,
     LONG_AGO,
     NEVER,
     Attempt,
@@ -25,7 +24,6 @@
     Seen,
     Session,
     TaskId,
-    Version,
     Zone,
 )
 from .model import JobSpec, MachineType
@@ -88,7 +86,6 @@
     mute: bool = False
     """Its deletion was decided because nothing was heard of it."""
     drop_recorded: bool = False
-    drop_version: Version = ABSENT
     delete_sent: Seconds | None = None
     images: dict[str, Seconds] = field(default_factory=dict)
     """Images it should have, and from when on; the one used last comes last."""
--- /dev/null
+++ b/src/crosscleat/core/records.py
@@ -0,0 +1,192 @@
+"""The leader's records of placements and deletions, many to a value.
+
+The region allows few changes a second, so what belongs to many jobs is kept in few values:
+`work/<n>` holds the stretches of several jobs, `drop/<n>` the names of many machines. A job's
+stretches stay in the record that they were first put in. What a record still says of a job
+that has ended means nothing: it goes with the record's next change.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+from .effects import Item, Put, Record
+from .ids import ABSENT, LONG_AGO, JobRef, MachineId, Seconds, Version
+from .jobs import STRETCH, Job, Stretch
+from .model import Priority
+
+WORK = "work/"
+DROP = "drop/"
+TASK_BYTES = 40
+"""More than a task takes in a record, whatever its state, in the form that limits count."""
+STRETCH_BYTES = 160
+FILL = 0.6
+MOST_NAMES = 300
+OVERDUE_S = 1.0
+"""A start that has waited so long to be written goes before more urgent ones."""
+
+
+@dataclass(slots=True, eq=False)
+class WorkRecord:
+    """One value with the stretches of several jobs."""
+
+    number: int
+    version: Version = ABSENT
+    members: dict[tuple[JobRef, int], tuple[Job, Stretch]] = field(default_factory=dict)
+    size: int = 0
+    dirty: bool = False
+    urgent: Priority | None = None
+    """The highest priority among the starts that wait for it to be written."""
+    urgent_since: Seconds = LONG_AGO
+    closing: bool = False
+    """Its removal is on the way: nothing is entered any more."""
+
+    @property
+    def key(self) -> str:
+        return f"{WORK}{self.number}"
+
+    def want(self, priority: Priority | None, now: Seconds) -> None:
+        """Something in it changed; with a priority, a start waits for it."""
+        self.dirty = True
+        if priority is None:
+            return
+        if self.urgent is None:
+            self.urgent_since = now
+            self.urgent = priority
+        else:
+            self.urgent = max(self.urgent, priority)
+
+    def value(self) -> Record:
+        return {
+            "jobs": [
+                [ref, number, *job.work_record(stretch)]
+                for (ref, number), (job, stretch) in self.members.items()
+            ]
+        }
+
+
+class WorkRecords:
+    def __init__(self, value_kb: float, txn_ops: int) -> None:
+        self._most_bytes = int(value_kb * 1024 * FILL)
+        # A transaction compares the live record of each job that starts something.
+        self._most_members = 2 * txn_ops
+        self._records: dict[int, WorkRecord] = {}
+        self._next = 1
+
+    def __iter__(self) -> Iterator[WorkRecord]:
+        return iter(self._records.values())
+
+    def load(self, items: Iterable[Item], jobs: dict[JobRef, Job]) -> None:
+        """Take over what an earlier leader left; jobs that are not live have ended."""
+        for item in items:
+            record = WorkRecord(int(item.key.removeprefix(WORK)), item.version)
+            self._records[record.number] = record
+            self._next = max(self._next, record.number + 1)
+            for ref, number, done, rows in item.value["jobs"]:
+                job = jobs.get(JobRef(ref))
+                if job is not None:
+                    stretch = job.load_work(number, done, rows)
+                    stretch.record = record.number
+                    self._enter(record, job, stretch)
+
+    def _enter(self, record: WorkRecord, job: Job, stretch: Stretch) -> None:
+        record.members[job.ref, stretch.number] = job, stretch
+        record.size += stretch_bytes(job)
+
+    def of(self, job: Job, stretch: Stretch) -> WorkRecord:
+        """The record that keeps the stretch: the one it is in, or one that has room."""
+        if stretch.record is not None:
+            return self._records[stretch.record]
+        size = stretch_bytes(job)
+        record = next((r for r in self._records.values() if self._has_room(r, size)), None)
+        if record is None:
+            record = WorkRecord(self._next)
+            self._records[record.number] = record
+            self._next += 1
+        stretch.record = record.number
+        self._enter(record, job, stretch)
+        return record
+
+    def _has_room(self, record: WorkRecord, size: int) -> bool:
+        return (
+            not record.closing
+            and len(record.members) < self._most_members
+            and record.size + size <= self._most_bytes
+        )
+
+    def forget(self, job: Job) -> None:
+        """The job has ended."""
+        for stretch in job.stretches.values():
+            if stretch.record is not None:
+                record = self._records[stretch.record]
+                del record.members[job.ref, stretch.number]
+                record.size -= stretch_bytes(job)
+
+    def urgent(self, now: Seconds) -> list[WorkRecord]:
+        """Those that starts wait for, in the order in which they are to be written."""
+        waiting = [r for r in self._records.values() if r.urgent is not None]
+        return sorted(
+            waiting,
+            key=lambda r: (now - r.urgent_since < OVERDUE_S, -(r.urgent or 0), r.urgent_since),
+        )
+
+    def lazy(self) -> list[WorkRecord]:
+        """Those that can wait, a removal being one that changes nothing any more."""
+        return [r for r in self._records.values() if r.dirty or (not r.members and not r.closing)]
+
+    def removed(self, record: WorkRecord) -> None:
+        del self._records[record.number]
+
+
+def stretch_bytes(job: Job) -> int:
+    return STRETCH_BYTES + TASK_BYTES * min(STRETCH, job.spec.tasks)
+
+
+@dataclass(slots=True, eq=False)
+class DropRecord:
+    """One value with the names of machines whose deletion is decided."""
+
+    number: int
+    version: Version = ABSENT
+    names: dict[MachineId, None] = field(default_factory=dict)
+
+    @property
+    def key(self) -> str:
+        return f"{DROP}{self.number}"
+
+    def put(self, more: Iterable[MachineId]) -> Put:
+        return Put(self.key, {"machines": [*self.names, *more]})
+
+
+class DropRecords:
+    def __init__(self) -> None:
+        self._records: dict[int, DropRecord] = {}
+        self._next = 1
+
+    def load(self, items: Iterable[Item]) -> list[MachineId]:
+        for item in items:
+            record = DropRecord(int(item.key.removeprefix(DROP)), item.version)
+            record.names = dict.fromkeys(MachineId(name) for name in item.value["machines"])
+            self._records[record.number] = record
+            self._next = max(self._next, record.number + 1)
+        return [name for record in self._records.values() for name in record.names]
+
+    def open(self) -> DropRecord:
+        """One with room for more names."""
+        for record in self._records.values():
+            if len(record.names) < MOST_NAMES // 2:
+                return record
+        record = self._records[self._next] = DropRecord(self._next)
+        self._next += 1
+        return record
+
+    def forget(self, name: MachineId) -> DropRecord | None:
+        """The name need not be known any more; the record, if it holds no other."""
+        for record in self._records.values():
+            if name in record.names:
+                del record.names[name]
+                if not record.names:
+                    del self._records[record.number]
+                    return record
+        return None
--- a/tests/test_isolated.py
+++ b/tests/test_isolated.py
@@ -8,6 +8,7 @@
 from crosscleat.core.jobs import Job, live_key
 from crosscleat.core.leader import Batch
 from crosscleat.core.model import Priority
+from crosscleat.core.records import WorkRecords
 
 from .world import CANCEL_S, LEASE_S, MEMBERS, REGION, World, job
 
@@ -106,11 +107,12 @@
 def test_a_placement_is_void_once_the_job_is_cancelled_or_the_leader_replaced() -> None:
     held = Job(job("job-1", priority=Priority.HIGH), Version(7), Seconds(0.0))
     held.place(MachineId("m-1"), Session(1))
-    batch = Batch(41, 8, 16.0)
-    batch.record(held, held.stretch_of(0))
+    record = WorkRecords(16.0, 8).of(held, held.stretch_of(0))
+    batch = Batch(41, 8)
+    batch.record(record)
     assert batch.conditions["leader"] == 41
     assert batch.conditions[live_key(held.ref)] == 7
-    assert batch.conditions["work/job-1/0"] == 0
-    done = Batch(41, 8, 16.0)
+    assert batch.conditions["work/1"] == 0
+    done = Batch(41, 8)
     done.end(held)
     assert done.conditions == {"leader": 41, live_key(held.ref): 7}
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -20,8 +20,9 @@
     WallTime,
     Zone,
 )
-from crosscleat.core.jobs import Job, live_key, live_record, work_key
+from crosscleat.core.jobs import Job, live_key, live_record
 from crosscleat.core.leader import Leader
+from crosscleat.core.records import WorkRecords
 from crosscleat.core.reports import Report, TaskReport
 
 from .world import TYPES, deployment, job
@@ -49,7 +50,8 @@
     before = Job(spec, Version(3), Seconds(0.0))
     before.place(MachineId("m-0"), Session(1))
     live = Item(live_key(spec.ref), live_record(spec, WallTime(-40.0), aborted=False), Version(3))
-    work = Item(work_key(spec.ref, 0), before.work_record(before.stretch_of(0)), Version(4))
+    record = WorkRecords(16.0, 8).of(before, before.stretch_of(0))
+    work = Item(record.key, record.value(), Version(4))
     leader.load([live], [work], [], Seconds(50.0))
     return leader
 
--- /dev/null
+++ b/tests/test_records.py
@@ -0,0 +1,135 @@
+"""What the leader keeps in the store, written by one term and read by the next."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+
+from crosscleat.core.effects import Item
+from crosscleat.core.ids import ABSENT, JobRef, MachineId, Seconds, Session, Version
+from crosscleat.core.jobs import STRETCH, Job
+from crosscleat.core.leader import Batch
+from crosscleat.core.model import Priority
+from crosscleat.core.records import DropRecords, WorkRecords
+
+from .world import job
+
+NOW = Seconds(100.0)
+VALUE_KB = 16.0
+TXN_OPS = 24
+
+
+def waiting(ref: str, **changes: Any) -> Job:
+    return Job(job(ref, **changes), Version(1), NOW)
+
+
+def place(records: WorkRecords, one: Job) -> tuple[int, int]:
+    task, attempt = one.place(MachineId("m-000001"), Session(2))
+    records.of(one, one.stretch_of(task.number)).want(one.spec.priority, NOW)
+    return task.number, attempt
+
+
+def stored(records: WorkRecords) -> list[Item]:
+    return [
+        Item(r.key, msgspec.msgpack.decode(msgspec.msgpack.encode(r.value())), Version(3))
+        for r in records
+    ]
+
+
+@given(st.lists(st.integers(1, 3 * STRETCH), min_size=1, max_size=12), st.data())
+def test_tasks_survive_a_change_of_leader(sizes: list[int], data: st.DataObject) -> None:
+    before = {JobRef(f"job-{n}"): waiting(f"job-{n}", tasks=size) for n, size in enumerate(sizes)}
+    records = WorkRecords(VALUE_KB, TXN_OPS)
+    for one in before.values():
+        for _ in range(data.draw(st.integers(0, min(one.spec.tasks, 40)))):
+            number, attempt = place(records, one)
+            fate = data.draw(st.sampled_from(("runs", "done", "lost")))
+            if fate == "done":
+                one.finish(number)
+            elif fate == "lost":
+                one.requeue(number, None)
+            assert one.is_current(number, attempt) == (fate == "runs")
+    items = stored(records)
+    ended = data.draw(st.sampled_from(sorted(before)))
+    after = {ref: Job(one.spec, Version(1), NOW) for ref, one in before.items() if ref != ended}
+    again = WorkRecords(VALUE_KB, TXN_OPS)
+    again.load(items, after)
+    for ref, one in after.items():
+        one.loaded()
+        old = before[ref]
+        assert one.done == old.done and one.done_count == old.done_count
+        assert one.placed_count() == old.placed_count()
+        assert one.waiting_count() == old.waiting_count()
+        for number, stretch in old.stretches.items():
+            assert {i: t for i, t in stretch.tries.items() if i in stretch.placed} == {
+                i: p.attempt for i, p in one.stretches[number].placed.items()
+            }
+            # An attempt's number is never given twice, in whatever term.
+            for index, attempt in stretch.tries.items():
+                assert one.stretches[number].tries.get(index) == attempt or old.done[index]
+    assert all(ended not in ref for r in again for ref, _ in r.members)
+
+
+@given(st.lists(st.tuples(st.integers(1, 3 * STRETCH), st.integers(0, 60)), max_size=40))
+def test_no_value_and_no_transaction_is_too_large(jobs: list[tuple[int, int]]) -> None:
+    records = WorkRecords(VALUE_KB, TXN_OPS)
+    for n, (tasks, placed) in enumerate(jobs):
+        one = waiting(f"job-{n:0>60}", tasks=tasks)
+        for index in range(min(tasks, 4 * placed)):
+            place(records, one)
+            if index % 2:
+                # Every second task done: the longest form of what is done.
+                one.finish(index)
+    for record in records:
+        assert len(msgspec.json.encode(record.value())) <= VALUE_KB * 1024
+    batch = Batch(7, TXN_OPS)
+    for record in records.urgent(NOW):
+        batch.record(record)
+    assert bool(batch.writes) == bool(list(records))
+    assert len(batch.writes) <= TXN_OPS and len(batch.conditions) <= 4 * TXN_OPS
+    assert len(msgspec.json.encode([w.value for w in batch.writes])) <= 56 * 1024
+    for one_job, stretch, _ in batch.stretches:
+        assert not stretch.unrecorded() or one_job in batch.jobs, "a start without its job compared"
+
+
+def test_urgent_starts_are_written_first_but_none_waits_for_ever() -> None:
+    records = WorkRecords(VALUE_KB, TXN_OPS)
+    slow = waiting("job-slow", tasks=STRETCH, priority=Priority.LOW)
+    soon = waiting("job-soon", tasks=STRETCH, priority=Priority.HIGH)
+    place(records, slow)
+    place(records, soon)
+    order = [[ref for ref, _ in r.members] for r in records.urgent(NOW)]
+    assert order == [["job-soon"], ["job-slow"]]
+    next(iter(records)).urgent_since = Seconds(NOW - 2.0)
+    order = [[ref for ref, _ in r.members] for r in records.urgent(NOW)]
+    assert order == [["job-slow"], ["job-soon"]]
+
+
+def test_a_record_without_jobs_is_to_be_removed_and_takes_no_more() -> None:
+    records = WorkRecords(VALUE_KB, TXN_OPS)
+    one = waiting("job-1")
+    place(records, one)
+    (record,) = records
+    records.forget(one)
+    assert records.lazy() == [record] and record.size == 0
+    record.closing = True
+    other = waiting("job-2")
+    place(records, other)
+    assert len(list(records)) == 2 and records.lazy() != [record]
+
+
+def test_deletions_survive_a_change_of_leader() -> None:
+    drops = DropRecords()
+    record = drops.open()
+    put = drops.open().put([MachineId("m-1"), MachineId("m-2")])
+    record.names.update({MachineId("m-1"): None, MachineId("m-2"): None})
+    record.version = Version(5)
+    later = DropRecords()
+    assert later.load([Item(put.key, put.value, Version(5))]) == ["m-1", "m-2"]
+    assert later.forget(MachineId("m-1")) is None
+    empty = later.forget(MachineId("m-2"))
+    assert empty is not None and empty.version == 5
+    assert later.open().version == ABSENT and later.open().key != put.key
--- a/tests/test_rounds.py
+++ b/tests/test_rounds.py
@@ -1,15 +1,13 @@
-"""Rounds, renting and records, each by itself."""
+"""Rounds and what they rest on."""
 
 from __future__ import annotations
 
 from random import Random
 from typing import Any
 
-import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
 
-from crosscleat.core.effects import Item
 from crosscleat.core.ids import (
     Image,
     JobRef,
@@ -20,7 +18,7 @@
     Version,
     Zone,
 )
-from crosscleat.core.jobs import STRETCH, Job, work_key
+from crosscleat.core.jobs import Job
 from crosscleat.core.model import Priority, Shape
 from crosscleat.core.placements import Hold, Ledger, Machine
 from crosscleat.core.rounds import Choice, Round
@@ -115,34 +113,6 @@
     assert len(plan([failing], [machine("m-0"), machine("m-1")])) == 1
 
 
-@given(st.integers(1, 3 * STRETCH), st.data())
-def test_tasks_survive_the_store(tasks: int, data: st.DataObject) -> None:
-    before = waiting("job-1", tasks=tasks)
-    for _ in range(data.draw(st.integers(0, min(tasks, 40)))):
-        task, attempt = before.place(MachineId("m-1"), Session(2))
-        fate = data.draw(st.sampled_from(("runs", "done", "lost")))
-        if fate == "done":
-            before.finish(task.number)
-        elif fate == "lost":
-            before.requeue(task.number, None)
-        assert before.is_current(task.number, attempt) == (fate == "runs")
-    after = waiting("job-1", tasks=tasks)
-    for stretch in before.stretches.values():
-        record = msgspec.msgpack.decode(msgspec.msgpack.encode(before.work_record(stretch)))
-        after.load_work(Item(work_key(before.ref, stretch.number), record, Version(3)))
-    after.loaded()
-    assert after.done == before.done and after.done_count == before.done_count
-    assert after.placed_count() == before.placed_count()
-    assert after.waiting_count() == before.waiting_count()
-    for number, stretch in before.stretches.items():
-        assert {i: t for i, t in stretch.tries.items() if i in stretch.placed} == {
-            i: p.attempt for i, p in after.stretches[number].placed.items()
-        }
-        # An attempt's number is never given twice, in whatever term.
-        for index, attempt in stretch.tries.items():
-            assert after.stretches[number].tries.get(index) == attempt or before.done[index]
-
-
 def test_what_may_still_start_is_not_proven_gone() -> None:
     spec = job("job-1")
     one = machine("m-0")
