--- a/src/crosscleat/core/rounds.py
+++ b/src/crosscleat/core/rounds.py
@@ -7,18 +7,25 @@
 from __future__ import annotations
 
 import heapq
+from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 from random import Random
 
-from .ids import JobRef, MachineId, Seconds
+from .ids import JobRef, MachineId, Seconds, TypeName
 from .jobs import Job
 from .model import MachineType, Priority, Shape, TeamLimits
 from .placements import Ledger, Machine
 from .scoring import Scorer
 
-SAMPLE = 48
-"""More machines than this are sampled, not searched, as the users want under overload."""
+MOST_PAIRS = 12_000
+"""Pairs of a job and a machine that one round looks at; beyond it machines are sampled, as the
+users want under overload."""
+LEAST_SAMPLE = 24
+LARGE_SHARE = 0.3
+"""A task that takes so much of a machine finds no room where small ones take whatever is freed."""
+KEPT_AFTER_S = 5.0
+KEPT_SHARE = 0.125
 TROUBLED_MACHINES = 2
 """A job that failed on so many machines and succeeded on none is tried one task at a time."""
 
@@ -38,6 +45,8 @@
     gpus: float
     memory: float
     fetching_s: float
+    kept: JobRef | None = None
+    """The job whose large tasks it is being emptied for."""
 
     def fits(self, job: Job) -> bool:
         spec = job.spec
@@ -77,11 +86,17 @@
         self._pulling: dict[tuple[MachineId, str], float] = {}
         self._rooms: list[Room] = []
         self._taken: dict[JobRef, int] = {}
+        self._ranked: dict[JobRef, deque[tuple[float, Room]]] = {}
+        """The machines that each job may go to, best first, as far as they are not used up."""
+        self._sample = 0
         self._free = 0.0
 
     def plan(self, jobs: Iterable[Job], machines: Iterable[Machine], most: int) -> list[Choice]:
         """At most `most` choices, best pair first."""
         now = self._now
+        waiting = [job for job in jobs if job.peek() is not None]
+        if not waiting:
+            return []
         for machine in machines:
             kind = machine.type
             waiting_s = max(
@@ -96,10 +111,11 @@
             )
             self._free += max(0.0, room.cpus)
             self._rooms.append(room)
-        waiting = [job for job in jobs if job.peek() is not None]
-        if not waiting or not self._rooms:
+        if not self._rooms:
             return []
+        self._sample = max(LEAST_SAMPLE, MOST_PAIRS // len(waiting))
         self._scorer.max_cost = self._max_cost(waiting)
+        self._keep(waiting)
         aside = []
         heap: list[tuple[float, float, int, Job, Room]] = []
         order = 0
@@ -118,6 +134,31 @@
         self._commit(heap, choices, most)
         return choices
 
+    def _keep(self, waiting: list[Job]) -> None:
+        """Empty a few machines for large tasks that have waited, and let them have those.
+
+        Without it small tasks take whatever is freed, and the large ones never begin.
+        """
+        by_age = sorted(waiting, key=lambda job: job.submitted)
+        for job in by_age:
+            if self._now - job.submitted < KEPT_AFTER_S:
+                return
+            if not self._team_admits(job):
+                continue
+            able = [r for r in self._rooms if self._large_on(job, r) and r.kept is None]
+            most = max(1, int(KEPT_SHARE * len(able)))
+            able.sort(key=lambda r: (-r.cpus, -r.memory))
+            for room in able[: min(most, job.waiting_count())]:
+                room.kept = job.ref
+
+    def _large_on(self, job: Job, room: Room) -> bool:
+        machine = room.machine
+        return (
+            machine.type.holds(job.spec)
+            and machine.allowed(job.spec)
+            and self._scorer.share(job.spec, machine.type) >= LARGE_SHARE
+        )
+
     def _commit(
         self,
         heap: list[tuple[float, float, int, Job, Room]],
@@ -162,29 +203,46 @@
             heapq.heappush(heap, (found[0], -age, order, job, found[1]))
 
     def _best(self, job: Job) -> tuple[float, Room] | None:
-        """The machine of the highest score for the job's next task; the score is negated."""
-        rooms = self._rooms
-        if len(rooms) > SAMPLE:
-            rooms = self._rng.sample(rooms, SAMPLE)
-        best: tuple[float, float] | None = None
-        best_room = rooms[0]
+        """The machine of the highest score for the job's next task; the score is negated.
+
+        A job's tasks are alike and what others take only makes rooms smaller, so its machines are
+        ranked once in a round, and those that can't have it any more are passed over for good.
+        """
+        ranked = self._ranked.get(job.ref)
+        if ranked is None or job.spec.shape is Shape.GANG:
+            ranked = self._ranked[job.ref] = self._rank(job)
+        while ranked and not self._may(job, ranked[0][1]):
+            ranked.popleft()
+        return ranked[0] if ranked else None
+
+    def _rank(self, job: Job) -> deque[tuple[float, Room]]:
         age = Seconds(self._now - job.submitted)
-        for room in rooms:
+        scores: dict[tuple[TypeName, bool, float], float] = {}
+        found = []
+        rooms = self._rooms
+        if len(rooms) > self._sample:
+            rooms = self._rng.sample(rooms, self._sample)
+        for number, room in enumerate(rooms):
             if not self._may(job, room):
                 continue
             machine = room.machine
             fetch_s = self._fetch_s(job, room)
-            score = self._scorer.score(job.spec, age, machine.type, machine.spot, fetch_s)
-            # Among near equals the fuller machine: others empty and can be returned, and large
-            # rooms stay whole for large tasks.
-            rank = (-round(score, 2), room.cpus)
-            if best is None or rank < best:
-                best, best_room = rank, room
-        return None if best is None else (best[0], best_room)
+            key = (machine.type.name, machine.spot, fetch_s)
+            score = scores.get(key)
+            if score is None:
+                score = self._scorer.score(job.spec, age, machine.type, machine.spot, fetch_s)
+                # Among near equals the fuller machine: others empty and can be returned, and
+                # large rooms stay whole for large tasks.
+                score = scores[key] = -round(score, 2)
+            found.append((score, room.cpus, number, room))
+        found.sort()
+        return deque((score, room) for score, _, _, room in found)
 
     def _may(self, job: Job, room: Room) -> bool:
         if not room.fits(job) or not room.machine.allowed(job.spec):
             return False
+        if room.kept is not None and room.kept != job.ref:
+            return False
         if job.spec.priority < Priority.HIGH and self._free - job.spec.cpus < self._reserve:
             return False
         if room.machine.id in job.failed_on and not self._all_failed(job):
--- a/tests/test_rounds.py
+++ b/tests/test_rounds.py
@@ -145,3 +145,26 @@
     for image, size in (("a", 8.0), ("b", 8.0), ("a", 8.0), ("c", 8.0)):
         one.use_image(Image(image), size, NOW)
     assert list(one.images) == ["a", "c"], "20 GB hold two of them"
+
+
+def test_small_urgent_tasks_do_not_keep_large_ones_waiting_for_ever() -> None:
+    large = waiting("job-large", tasks=1, cpus=8.0)
+    large.submitted = Seconds(NOW - 60.0)
+    half_used = machine("m-0")
+    half_used.used_cpus = 6.0
+    small = waiting("job-small", tasks=4, cpus=1.0, priority=Priority.PRODUCTION)
+    assert plan([large, small], [half_used]) == []
+    # Once it is empty the large task has it; and what is not large keeps nobody waiting.
+    assert [c.job for c in plan([large, small], [machine("m-0")])] == ["job-large"]
+    half_used.used_cpus = 7.5
+    medium = waiting("job-medium", tasks=1, cpus=2.0)
+    medium.submitted = Seconds(NOW - 60.0)
+    tiny = waiting("job-tiny", tasks=1, cpus=0.5)
+    assert [c.job for c in plan([medium, tiny], [half_used])] == ["job-tiny"]
+
+
+def test_a_round_looks_at_every_machine_unless_there_are_too_many_pairs() -> None:
+    fleet = [machine(f"m-{n}") for n in range(400)]
+    for one in fleet[:-1]:
+        one.used_cpus = 8.0
+    assert [c.machine for c in plan([waiting("job-1", tasks=1)], fleet)] == ["m-399"]
