--- a/src/crosscleat/core/fleet.py
+++ b/src/crosscleat/core/fleet.py
@@ -11,10 +11,12 @@
 from .jobs import Job
 from .model import JobSpec, Knobs, MachineType, Priority, TeamLimits
 from .placements import Machine
-from .rounds import troubled, within
+from .rounds import troubled
 
 MOST_PER_RENTAL = 50
 WINDOW_S = 120.0
+RECENT_S = 45.0
+FLOODED = 0.5
 PRESSING_BOOTS = 0.5
 PRESSING_SLACK = 0.2
 DEAR = 1.6
@@ -49,6 +51,41 @@
     count: int
 
 
+@dataclass(slots=True)
+class Space:
+    """What a machine has left while waiting tasks are counted into it."""
+
+    machine: Machine
+    cpus: float
+    memory_gb: float
+    gpus: float
+
+    @classmethod
+    def of(cls, machine: Machine) -> Space:
+        kind = machine.type
+        return cls(
+            machine,
+            kind.cpus - machine.used_cpus,
+            kind.memory_gb - machine.used_memory,
+            kind.gpus - machine.used_gpus,
+        )
+
+    def house(self, spec: JobSpec, most: int) -> int:
+        """Take as many tasks as fit, up to `most`."""
+        count = min(most, fitting(spec, self.cpus, self.memory_gb, self.gpus))
+        if count > 0:
+            self.cpus -= count * spec.cpus
+            self.memory_gb -= count * spec.memory_gb
+            self.gpus -= count * spec.gpus
+        return count
+
+
+def fitting(spec: JobSpec, cpus: float, memory_gb: float, gpus: float) -> int:
+    """How many of the job's tasks fit in so much room."""
+    parts = ((spec.cpus, cpus), (spec.memory_gb, memory_gb), (spec.gpus, gpus))
+    return int(min((room / need for need, room in parts if need > 0), default=1e6) + 1e-9)
+
+
 class Demand:
     """CPUs asked for over the last while: what the warm room is sized by."""
 
@@ -67,8 +104,10 @@
         while self._urgent and now - self._urgent[0][0] > WINDOW_S:
             self._urgent.popleft()
 
-    def mean(self) -> float:
-        return sum(c for _, c in self._samples) / len(self._samples) if self._samples else 0.0
+    def mean(self, now: Seconds | None = None) -> float:
+        """Of the whole window; with a time, of what came last before it."""
+        found = [c for at, c in self._samples if now is None or now - at <= RECENT_S]
+        return sum(found) / len(found) if found else 0.0
 
     def spread(self) -> float:
         mean = self.mean()
@@ -127,47 +166,56 @@
             key=lambda job: (-job.spec.priority, job.submitted),
         )
         usable = [m for m in machines if not (m.dropping or m.suspect or m.recall_at is not None)]
-        free = {m.id: [m.type.cpus - m.used_cpus, m.type.memory_gb - m.used_memory] for m in usable}
         used = dict(team_cpus)
         current = sum(team_cpus.values())
-        short: Job | None = None
-        short_tasks = 0
+        homeless: list[tuple[Job, int]] = []
+        spaces = [Space.of(machine) for machine in usable]
         for job in waiting:
             spec = job.spec
             limit = teams[spec.team].cpus_max if spec.team in teams else 0.0
-            for _ in range(min(job.waiting_count(), 400)):
-                if not within(used.get(spec.team, 0.0) + spec.cpus, limit):
+            count = job.waiting_count()
+            if limit > 0 and spec.cpus > 0:
+                room = limit - used.get(spec.team, 0.0)
+                count = max(0, min(count, int(room / spec.cpus + 1e-9)))
+            used[spec.team] = used.get(spec.team, 0.0) + count * spec.cpus
+            current += count * spec.cpus
+            for space in spaces:
+                if count <= 0:
                     break
-                used[spec.team] = used.get(spec.team, 0.0) + spec.cpus
-                current += spec.cpus
-                home = next(
-                    (
-                        m
-                        for m in usable
-                        if free[m.id][0] + 1e-9 >= spec.cpus
-                        and free[m.id][1] + 1e-9 >= spec.memory_gb
-                        and m.allowed(spec)
-                        and m.id not in job.failed_on
-                    ),
-                    None,
-                )
-                if home is not None:
-                    free[home.id][0] -= spec.cpus
-                    free[home.id][1] -= spec.memory_gb
-                elif short is None and self._pressing(job, usable, now):
-                    short, short_tasks = job, 1
-                elif short is not None and short.ref == job.ref:
-                    short_tasks += 1
+                if space.machine.allowed(spec) and space.machine.id not in job.failed_on:
+                    count -= space.house(spec, count)
+            if count > 0:
+                homeless.append((job, count))
         self.demand.sample(current, now)
-        if short is not None:
-            found = self._pick(short, short_tasks, now)
-            if found is not None:
-                return found
         capacity = sum(m.type.cpus for m in usable)
-        lacking = self.target_cpus() - capacity
-        if lacking <= 0:
+        lacking = sum(count * job.spec.cpus for job, count in homeless)
+        # Far more than there is room for, as at the start of a day: no burst passes so quickly.
+        flooded = lacking > FLOODED * capacity
+        pressing = [
+            (job, count) for job, count in homeless if flooded or self._pressing(job, usable, now)
+        ]
+        return self._for_tasks(pressing, now) or self._warm_room(capacity, now)
+
+    def _for_tasks(self, homeless: list[tuple[Job, int]], now: Seconds) -> Wanted | None:
+        """Machines of one pool for all the tasks that are best housed there."""
+        wanted: PoolKey | None = None
+        machines = 0.0
+        for job, count in homeless:
+            found = self._pick(job.spec, now)
+            if found is not None and wanted in (None, found[0]):
+                wanted = found[0]
+                machines += count / found[1]
+        if wanted is None:
             return None
-        return self._cheapest(lacking, now)
+        return Wanted(wanted, min(MOST_PER_RENTAL, math.ceil(machines)))
+
+    def _warm_room(self, capacity: float, now: Seconds) -> Wanted | None:
+        """Room for what is usually asked for, kept ready on cheap machines.
+
+        Dear ones only make up for what cheap ones can't hold of the mean, without its swings.
+        """
+        found = self._cheapest(self.target_cpus() - capacity, now, dear=False)
+        return found or self._cheapest(self.demand.mean(now) - capacity, now, dear=True)
 
     def _pressing(self, job: Job, usable: list[Machine], now: Seconds) -> bool:
         """Whether it has waited too long for room, or none of the machines can ever have it."""
@@ -177,38 +225,28 @@
         slack = max(0.0, self._due(job.spec) - job.spec.estimate_s)
         return now - job.submitted > min(PRESSING_BOOTS * boot_s, PRESSING_SLACK * slack)
 
-    def _pick(self, job: Job, tasks: int, now: Seconds) -> Wanted | None:
-        """The cheapest way to house tasks that no rented machine can start."""
-        spec = job.spec
+    def _pick(self, spec: JobSpec, now: Seconds) -> tuple[PoolKey, int] | None:
+        """The cheapest pool for tasks that no rented machine can start, and how many fit on one."""
         best: tuple[float, float, PoolKey, int] | None = None
         for kind in self.types.values():
             if not kind.holds(spec):
                 continue
-            per = int(
-                min(
-                    kind.cpus / spec.cpus if spec.cpus > 0 else MOST_PER_RENTAL,
-                    kind.memory_gb / spec.memory_gb if spec.memory_gb > 0 else MOST_PER_RENTAL,
-                    kind.gpus / spec.gpus if spec.gpus > 0 else MOST_PER_RENTAL,
-                )
-                + 1e-9
-            )
-            per = max(1, per)
+            per = max(1, fitting(spec, kind.cpus, kind.memory_gb, kind.gpus))
             for key in self._open(kind, now):
                 if (key.spot and not spec.spot) or (spec.zone not in (None, key.zone)):
                     continue
-                cost = kind.price_for(key.spot) / per
-                count = min(MOST_PER_RENTAL, math.ceil(tasks / per))
-                rank = (cost, kind.cpus, key, count)
+                rank = (kind.price_for(key.spot) / per, kind.cpus, key, per)
                 if best is None or rank[:2] < best[:2]:
                     best = rank
-        return Wanted(best[2], best[3]) if best else None
+        return (best[2], best[3]) if best else None
 
-    def _cheapest(self, cpus: float, now: Seconds) -> Wanted | None:
+    def _cheapest(self, cpus: float, now: Seconds, dear: bool) -> Wanted | None:
         options = [
             (kind.price_for(key.spot) / max(kind.cpus, 1e-9), kind.cpus, key)
             for kind in self.types.values()
-            if kind.cpus <= 2.0 * cpus
+            if 0.0 < kind.cpus <= 2.0 * cpus
             for key in self._open(kind, now)
+            if self.dear(kind, key.spot) == dear
         ]
         if not options:
             return None
@@ -228,9 +266,11 @@
             key=lambda m: -m.type.price_for(m.spot) / max(m.type.cpus, 1e-9),
         )
         found = []
-        target = self.target_cpus()
+        usual = self.demand.mean(now)
+        warm = self.target_cpus()
         for machine in idle:
             dear = self.dear(machine.type, machine.spot)
+            target = usual if dear else warm
             patience = DEAR_IDLE_S if dear else self._knobs.idle_return_s
             rested = now - (machine.idle_since or now) >= patience
             paid = now - machine.born >= LEAST_CHARGE_S
--- a/src/crosscleat/core/leader.py
+++ b/src/crosscleat/core/leader.py
@@ -129,6 +129,7 @@
         self._changed = True
         self._round_at = now
         self._full_round_at = now
+        self._first = False
         self._renting = False
         self._rent_number = 0
         self._rent_at = now
@@ -145,6 +146,7 @@
         for item in live:
             job = self._read_job(item, now)
             self.jobs[job.ref] = job
+        self._first = not (live or work or drops)
         self.work.load(work, self.jobs)
         for item, job in zip(live, list(self.jobs.values()), strict=True):
             job.loaded()
@@ -782,8 +784,11 @@
             self.drop(machine, "idle")
 
     def _heard_of_fleet(self, now: Seconds) -> bool:
-        """A new leader first hears of the machines there are, or it would rent them twice."""
-        return now - self.began > min(3.0, self.deployment.report_s * 1.3)
+        """A new leader first hears of the machines there are, or it would rent them twice.
+
+        Unless there is nothing on record: then nobody has rented anything yet.
+        """
+        return self._first or now - self.began > min(3.0, self.deployment.report_s * 1.3)
 
     def _rate(self, wanted: Wanted) -> float:
         kind = self.fleet.types[wanted.pool.type]
