--- a/src/crosscleat/core/rounds.py
+++ b/src/crosscleat/core/rounds.py
@@ -145,10 +145,11 @@
                 return
             if not self._team_admits(job):
                 continue
-            able = [r for r in self._rooms if self._large_on(job, r) and r.kept is None]
-            most = max(1, int(KEPT_SHARE * len(able)))
-            able.sort(key=lambda r: (-r.cpus, -r.memory))
-            for room in able[: min(most, job.waiting_count())]:
+            able = [r for r in self._rooms if self._large_on(job, r)]
+            free = [r for r in able if r.kept is None]
+            most = max(1, int(KEPT_SHARE * len(able))) - (len(able) - len(free))
+            free.sort(key=lambda r: (-r.cpus, -r.memory))
+            for room in free[: max(0, min(most, job.waiting_count()))]:
                 room.kept = job.ref
 
     def _large_on(self, job: Job, room: Room) -> bool:
