--- a/src/crosscleat/core/fleet.py
+++ b/src/crosscleat/core/fleet.py
@@ -21,6 +21,8 @@
 PRESSING_SLACK = 0.2
 DEAR = 1.6
 DEAR_IDLE_S = 4.0
+SERVED_S = 90.0
+"""Tasks without a home for so long have machines rented for them even if dear and late."""
 LEAST_CHARGE_S = 60.0
 """A machine that is deleted costs at least so long."""
 
@@ -104,10 +106,13 @@
         while self._urgent and now - self._urgent[0][0] > WINDOW_S:
             self._urgent.popleft()
 
-    def mean(self, now: Seconds | None = None) -> float:
-        """Of the whole window; with a time, of what came last before it."""
-        found = [c for at, c in self._samples if now is None or now - at <= RECENT_S]
-        return sum(found) / len(found) if found else 0.0
+    def mean(self) -> float:
+        return sum(c for _, c in self._samples) / len(self._samples) if self._samples else 0.0
+
+    def usual(self, now: Seconds) -> float:
+        """What was asked for both lately and over the whole while: no passing burst."""
+        lately = [c for at, c in self._samples if now - at <= RECENT_S]
+        return min(self.mean(), sum(lately) / len(lately)) if lately else 0.0
 
     def spread(self) -> float:
         mean = self.mean()
@@ -124,9 +129,15 @@
 class Fleet:
     """Rents and returns; holds what is known of pools, whose capacity nobody publishes."""
 
-    def __init__(self, knobs: Knobs, due: Callable[[JobSpec], float]) -> None:
+    def __init__(
+        self,
+        knobs: Knobs,
+        due: Callable[[JobSpec], float],
+        run_s: Callable[[JobSpec], float],
+    ) -> None:
         self._knobs = knobs
         self._due = due
+        self._run_s = run_s
         self._pools: dict[PoolKey, Pool] = {}
         self.types: dict[TypeName, MachineType] = {}
         self.demand = Demand()
@@ -201,7 +212,7 @@
         wanted: PoolKey | None = None
         machines = 0.0
         for job, count in homeless:
-            found = self._pick(job.spec, now)
+            found = self._pick(job.spec, Seconds(now - job.submitted), now)
             if found is not None and wanted in (None, found[0]):
                 wanted = found[0]
                 machines += count / found[1]
@@ -215,7 +226,7 @@
         Dear ones only make up for what cheap ones can't hold of the mean, without its swings.
         """
         found = self._cheapest(self.target_cpus() - capacity, now, dear=False)
-        return found or self._cheapest(self.demand.mean(now) - capacity, now, dear=True)
+        return found or self._cheapest(self.demand.usual(now) - capacity, now, dear=True)
 
     def _pressing(self, job: Job, usable: list[Machine], now: Seconds) -> bool:
         """Whether it has waited too long for room, or none of the machines can ever have it."""
@@ -225,8 +236,12 @@
         slack = max(0.0, self._due(job.spec) - job.spec.estimate_s)
         return now - job.submitted > min(PRESSING_BOOTS * boot_s, PRESSING_SLACK * slack)
 
-    def _pick(self, spec: JobSpec, now: Seconds) -> tuple[PoolKey, int] | None:
-        """The cheapest pool for tasks that no rented machine can start, and how many fit on one."""
+    def _pick(self, spec: JobSpec, age: Seconds, now: Seconds) -> tuple[PoolKey, int] | None:
+        """The cheapest pool for tasks that no rented machine can start, and how many fit on one.
+
+        A dear machine is for work that it can still bring in on time, or that has waited so long
+        that it must be served at any price.
+        """
         best: tuple[float, float, PoolKey, int] | None = None
         for kind in self.types.values():
             if not kind.holds(spec):
@@ -235,11 +250,18 @@
             for key in self._open(kind, now):
                 if (key.spot and not spec.spot) or (spec.zone not in (None, key.zone)):
                     continue
+                if self.dear(kind, key.spot) and self._late(spec, kind) < age < SERVED_S:
+                    continue
                 rank = (kind.price_for(key.spot) / per, kind.cpus, key, per)
                 if best is None or rank[:2] < best[:2]:
                     best = rank
         return (best[2], best[3]) if best else None
 
+    def _late(self, spec: JobSpec, kind: MachineType) -> float:
+        """The age from which renting such a machine can't complete the job's tasks on time."""
+        fetch_s = spec.image_gb / kind.fetch_gb_per_s if kind.fetch_gb_per_s > 0 else 0.0
+        return self._due(spec) - self._run_s(spec) - kind.boot_s - fetch_s
+
     def _cheapest(self, cpus: float, now: Seconds, dear: bool) -> Wanted | None:
         options = [
             (kind.price_for(key.spot) / max(kind.cpus, 1e-9), kind.cpus, key)
@@ -266,7 +288,7 @@
             key=lambda m: -m.type.price_for(m.spot) / max(m.type.cpus, 1e-9),
         )
         found = []
-        usual = self.demand.mean(now)
+        usual = self.demand.usual(now)
         warm = self.target_cpus()
         for machine in idle:
             dear = self.dear(machine.type, machine.spot)
--- a/src/crosscleat/core/leader.py
+++ b/src/crosscleat/core/leader.py
@@ -109,7 +109,7 @@
         self.drops = DropRecords()
         self.run_times = RunTimes()
         self.scorer = Scorer(deployment, self.run_times)
-        self.fleet = Fleet(deployment.knobs, self.scorer.due)
+        self.fleet = Fleet(deployment.knobs, self.scorer.due, self.scorer.run_s)
         self.fleet.types = types
         self.watched = now
         """When the watch that last answered was opened: no cancellation before it is unknown."""
@@ -146,7 +146,7 @@
         for item in live:
             job = self._read_job(item, now)
             self.jobs[job.ref] = job
-        self._first = not (live or work or drops)
+        self._first = not (work or drops)
         self.work.load(work, self.jobs)
         for item, job in zip(live, list(self.jobs.values()), strict=True):
             job.loaded()
@@ -786,7 +786,7 @@
     def _heard_of_fleet(self, now: Seconds) -> bool:
         """A new leader first hears of the machines there are, or it would rent them twice.
 
-        Unless there is nothing on record: then nobody has rented anything yet.
+        Unless nothing is on record: then no work has begun, and hardly a machine is rented.
         """
         return self._first or now - self.began > min(3.0, self.deployment.report_s * 1.3)
 
