--- a/src/crosscleat/adapters/state_client.py
+++ b/src/crosscleat/adapters/state_client.py
@@ -44,6 +44,7 @@
 MOST_BYTES = 48_000
 REFUSED = (429, 503)
 DOWN_AFTER = 3
+USER_READ_S = 1.5
 READ_SHARE = 0.3
 """One controller's part of the region's requests for its users' reads: three leave a tenth."""
 WRITE_SHARE = 0.7
@@ -143,6 +144,9 @@
         return None
 
     async def scan(self, call: Scan) -> Listing | None:
+        if call.for_user and (self._down() or not self._reads.spare(1.0)):
+            return None
+        patience_s = USER_READ_S if call.for_user else 5.0
         items: list[Item] = []
         first: int | None = None
         after = ""
@@ -150,7 +154,7 @@
             path = f"/kv?starts={quote(call.prefix)}&limit={PAGE}"
             if after:
                 path += f"&after={quote(after)}"
-            response = await self._call("GET", path, None, 5.0)
+            response = await self._call("GET", path, None, patience_s)
             page = (
                 None if response is None or response[0] != 200 else _decode(wire.page, response[1])
             )
@@ -165,9 +169,14 @@
             after = page.pairs[-1].path
 
     async def watch(self, call: Watch) -> News | None:
+        if call.for_user and (self._down() or not self._reads.spare(1.0)):
+            return None
         block_ms = int(call.block_s * 1000)
         path = f"/changes?starts={quote(call.prefix)}&after={call.after}&block_ms={block_ms}"
-        response = await self._try("GET", path, None, call.block_s + 2.0)
+        if call.for_user:
+            response = await self._call("GET", path, None, USER_READ_S)
+        else:
+            response = await self._try("GET", path, None, call.block_s + 2.0)
         if response is None:
             return None
         if response[0] == 410:
--- a/src/crosscleat/app.py
+++ b/src/crosscleat/app.py
@@ -190,7 +190,7 @@
     async def _check_in(self, body: bytes) -> tuple[int, bytes]:
         """A worker's check-in at this controller: ours to answer, or the leader's."""
         if self._controller.leader is not None:
-            return await self._answer_check_in(body)
+            return await self._answer_check_in(body, relayed=False)
         leader = self._controller.election.leader
         link = self._links.get(leader) if leader is not None else None
         if link is None or not link.up:
@@ -201,13 +201,13 @@
         """A check-in that another controller passed on: never passed on again."""
         if self._controller.leader is None:
             return NOT_NOW
-        return await self._answer_check_in(body)
+        return await self._answer_check_in(body, relayed=True)
 
-    async def _answer_check_in(self, body: bytes) -> tuple[int, bytes]:
+    async def _answer_check_in(self, body: bytes, relayed: bool) -> tuple[int, bytes]:
         report = worker_wire.parse_check_in(body)
         if report is None:
             return 400, b""
-        answer = await self._wait(lambda number: CheckIn(number, report), 1.0)
+        answer = await self._wait(lambda number: CheckIn(number, report, relayed), 1.0)
         if isinstance(answer, Orders):
             return 200, worker_wire.answer(answer.token, answer.orders)
         return NOT_NOW
--- a/src/crosscleat/core/controller.py
+++ b/src/crosscleat/core/controller.py
@@ -88,6 +88,7 @@
 
     request: int
     report: Report
+    relayed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,7 +119,7 @@
         self._types_asked = False
         self._types_at = LONG_AGO
         self._progress_at = LONG_AGO
-        self.front = Front(deployment, self._out, self._types)
+        self.front = Front(deployment, self._out, self._types, lambda: self._now)
         self.leader: Leader | None = None
         self.election = Election(
             Member(deployment.member),
@@ -138,9 +139,9 @@
         match given:
             case Completed(then, results):
                 then(*results)
-            case CheckIn(request, report):
+            case CheckIn(request, report, relayed):
                 if self.leader is not None:
-                    self.leader.check_in(request, report, now)
+                    self.leader.check_in(request, report, now, relayed)
                 else:
                     self._out.add(Answer(request, 503, retry_after_s=1))
             case Poll(request, ref):
--- a/src/crosscleat/core/effects.py
+++ b/src/crosscleat/core/effects.py
@@ -99,6 +99,7 @@
 class Scan:
     prefix: str
     then: Callable[[Listing | None], None]
+    for_user: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,6 +108,7 @@
     after: Version
     block_s: float
     then: Callable[[News | None], None]
+    for_user: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/crosscleat/core/front.py
+++ b/src/crosscleat/core/front.py
@@ -1,8 +1,15 @@
-"""Users' requests, as any controller answers them: from the store, and only from the store."""
+"""Users' requests, as any controller answers them: from the store, and only from the store.
+
+Questions share reads. A copy of the live jobs is kept, and brought up to date by one request for
+the changes since, sent after the question came; what it then says is as new as a read would be.
+All questions that came before that request was sent are answered by it.
+"""
 
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
 
 import msgspec
 
@@ -13,29 +20,57 @@
     Conflict,
     Found,
     Item,
+    Later,
+    Listing,
+    News,
     NoSuchLease,
     Outbox,
     Put,
     Read,
     Record,
+    Scan,
+    Watch,
 )
-from .ids import ABSENT, JobRef, TypeName, WallTime
-from .jobs import ended_key, live_key, live_record, spec_of
+from .ids import ABSENT, LONG_AGO, JobRef, Seconds, TypeName, Version, WallTime
+from .jobs import LIVE, ended_key, live_key, live_record, spec_of
 from .model import Deployment, JobSpec, MachineType, team_can_hold
 
 KNOWN_ENDED = 20_000
 CANCEL_TRIES = 6
 RETRY_S = 1
+LOOK_S = 0.04
+"""Least time between two looks at the changes: it bounds our part of the store's requests."""
+
+
+@dataclass(frozen=True, slots=True)
+class Question:
+    """Somebody wants to know of a job; `unknown` is the answer if nobody submitted it."""
+
+    request: int
+    ref: JobRef
+    unknown: int
 
 
 class Front:
     def __init__(
-        self, deployment: Deployment, out: Outbox, types: dict[TypeName, MachineType]
+        self,
+        deployment: Deployment,
+        out: Outbox,
+        types: dict[TypeName, MachineType],
+        clock: Callable[[], Seconds],
     ) -> None:
         self._deployment = deployment
         self._out = out
         self._types = types
+        self._clock = clock
         self._ended: OrderedDict[JobRef, Record] = OrderedDict()
+        self._live: dict[JobRef, bool] = {}
+        """The copy: live jobs, and whether they are cancelled."""
+        self._copied: Version | None = None
+        """The revision that the copy has reached; None: it has to be read anew."""
+        self._questions: list[Question] = []
+        self._looking = False
+        self._looked_at = LONG_AGO
         self.progress: dict[str, tuple[int, int]] = {}
 
     # POST /work
@@ -92,19 +127,71 @@
 
     def _look(self, request: int, ref: JobRef, unknown: int) -> None:
         """Answer with the job's present state. Live first: a job moves from live to ended only."""
-
-        def live(found: Found | None) -> None:
-            if found is None:
-                self._answer(request, 503)
-            elif found.item is not None:
-                self._answer(request, 200, self._live_body(found.item))
-            else:
-                self._look_ended(request, ref, unknown)
-
         if ref in self._ended:
             self._answer_ended(request, ref)
+            return
+        self._questions.append(Question(request, ref, unknown))
+        if not self._looking:
+            self._looking = True
+            wait_s = self._looked_at + LOOK_S - self._clock()
+            if wait_s > 0.0:
+                self._out.add(Later(wait_s, self._look_up))
+            else:
+                self._look_up()
+
+    def _look_up(self) -> None:
+        """One request for all who have asked so far; who asks later waits for the next."""
+        asked, self._questions = self._questions, []
+        self._looked_at = self._clock()
+
+        def scanned(listing: Listing | None) -> None:
+            if listing is not None:
+                self._live.clear()
+                self._copied = listing.revision
+                self._copy(listing.items)
+            self._reply(asked, found=listing is not None)
+
+        def heard(news: News | None) -> None:
+            if news is not None and news.lost:
+                # Too much has changed since: that copy is of no more use.
+                self._copied = None
+                self._out.add(Scan(LIVE, scanned, for_user=True))
+                return
+            if news is not None:
+                self._copied = max(after, news.revision)
+                self._copy(news.changes)
+            self._reply(asked, found=news is not None)
+
+        if self._copied is None:
+            self._out.add(Scan(LIVE, scanned, for_user=True))
         else:
-            self._out.add(Read(live_key(ref), live, for_user=True))
+            after = self._copied
+            self._out.add(Watch(LIVE, after, 0.0, heard, for_user=True))
+
+    def _copy(self, items: list[Item]) -> None:
+        for item in items:
+            if not item.key.startswith(LIVE):
+                continue
+            ref = JobRef(item.key.removeprefix(LIVE))
+            if item.version:
+                self._live[ref] = item.value["aborted"]
+            else:
+                self._live.pop(ref, None)
+                self.progress.pop(ref, None)
+
+    def _reply(self, asked: list[Question], found: bool) -> None:
+        for question in asked:
+            aborted = self._live.get(question.ref)
+            if not found:
+                self._answer(question.request, 503)
+            elif aborted is None:
+                self._look_ended(question.request, question.ref, question.unknown)
+            else:
+                self._answer(question.request, 200, self._live_body(question.ref, aborted))
+        self._looking = bool(self._questions)
+        if self._looking:
+            wait_s = max(0.0, self._looked_at + LOOK_S - self._clock())
+            self._out.add(Later(wait_s, self._look_up))
 
     def _look_ended(self, request: int, ref: JobRef, unknown: int) -> None:
         def ended(found: Found | None) -> None:
@@ -118,11 +205,10 @@
 
         self._out.add(Read(ended_key(ref), ended, for_user=True))
 
-    def _live_body(self, item: Item) -> Record:
-        ref = item.value["spec"][0]
+    def _live_body(self, ref: JobRef, aborted: bool) -> Record:
         done, running = self.progress.get(ref, (0, 0))
         active = "running" if running else "queued"
-        status = "aborted" if item.value["aborted"] else active
+        status = "aborted" if aborted else active
         return {"ref": ref, "status": status, "done": done, "running": running}
 
     def _remember(self, ref: JobRef, record: Record) -> None:
--- a/src/crosscleat/core/leader.py
+++ b/src/crosscleat/core/leader.py
@@ -70,8 +70,11 @@
 SLOW_START_S = 2.0
 ROTATE_S = 3.0
 LIST_WAIT_S = 2.0
+CUT_OFF_SHARE = 0.1
+CUT_OFF_S = 2.0
 UNHEARD_S = 5.0
 """No machine at all was heard for so long: the fault is with us."""
+MOST_DIRECT_PAUSE_S = 48.0
 MOST_ORDERS = 300
 MOST_DROPS = 100
 MOST_BYTES = 48 * 1024
@@ -126,6 +129,9 @@
         """Another term has begun or none: late answers must not act for this one."""
         self._lazy_flush = now
         self._kick: set[MachineId] = set()
+        self._unreached: set[MachineId] = set()
+        """Machines that we could not reach since we last reached or directly heard any."""
+        self._reached_at = now
         self._changed = True
         self._round_at = now
         self._full_round_at = now
@@ -254,7 +260,9 @@
 
     # Workers
 
-    def check_in(self, request: int, report: Report, now: Seconds) -> None:
+    def check_in(self, request: int, report: Report, now: Seconds, relayed: bool) -> None:
+        if not relayed:
+            self._reached(now)
         token = self.election.token
         if token is None or now > self.renew_until():
             self.out.add(Answer(request, 503, retry_after_s=1))
@@ -272,7 +280,10 @@
             # Late, or repeated: the worker has given this one up and drops any answer.
             self.out.add(Answer(request, 503, retry_after_s=1))
             return
+        self._listen(machine, report, now)
         self._apply(machine, report, now, check_in=True)
+        if not machine.known:
+            self._greet(machine)
         orders = self._orders(machine, now, report.seen.tally)
         machine.last_heard = now
         machine.last_answer = (
@@ -280,6 +291,33 @@
         )
         self.out.add(Orders(request, token, tuple(orders)))
 
+    def _listen(self, machine: Machine, report: Report, now: Seconds) -> None:
+        """Whether the worker hears our answers, by what its new check-in shows of them.
+
+        A start in an answer is in the next report of the session, or the answer did not arrive.
+        And a session that ends although its reports were answered in time heard no answer.
+        """
+        # Well within a lease: a cut may have taken the last answer or two.
+        answered = machine.checked > 0 and now - machine.last_heard < 0.6 * self.deployment.lease_s
+        if report.seen.session > machine.seen.session:
+            if answered and machine.known:
+                self.drop(machine, "its lease ran out though we answered")
+            return
+        listed = {(task.task, task.attempt) for task in report.tasks}
+        missed = any(
+            hold.answered_at and not hold.withdrawn and key not in listed
+            for key, hold in machine.holds.items()
+        )
+        if not missed:
+            machine.deaf_since = None
+        elif machine.deaf_since is None:
+            machine.deaf_since = now
+        elif now - machine.deaf_since > self._silent_s():
+            self.drop(machine, "takes up no orders")
+
+    def _silent_s(self) -> float:
+        return self.knobs.silence_leases * self.deployment.lease_s
+
     def _machine_of(self, report: Report, now: Seconds) -> Machine:
         machine = self.ledger.machines.get(report.machine)
         if machine is None:
@@ -312,6 +350,9 @@
         elif later_session:
             machine.checked = 0
         machine.shown_token = max(machine.shown_token, report.token)
+        if report.token >= self.began_token:
+            # It has heard us: this is no copy from before our term.
+            machine.known = True
         if not machine.up:
             machine.up = True
             self._changed = True
@@ -333,11 +374,17 @@
         }
         for key, hold in list(machine.holds.items()):
             self._compare(machine, hold, listed.get(key), now)
+        if check_in and machine.known and self._restarted(machine, report):
+            self.drop(machine, "it has begun anew")
         # Last: what is withdrawn and not listed counts as gone, so the list must be this report's.
         if report.notice_s is not None and machine.recall_at is None:
             machine.recall_at = Seconds(now + report.notice_s)
             self._evacuate(machine, report.notice_s, now)
 
+    def _restarted(self, machine: Machine, report: Report) -> bool:
+        """It counts its sessions from 1 again: they prove nothing of what was placed there."""
+        return any(hold.session > report.seen.session for hold in machine.holds.values())
+
     def _compare(self, machine: Machine, hold: Hold, task: TaskReport | None, now: Seconds) -> None:
         if task is None:
             hold.listed = False
@@ -502,6 +549,18 @@
                 continue
             self._direct(machine, machine.seen.session, tuple(orders))
 
+    def _reached(self, now: Seconds) -> None:
+        self._unreached.clear()
+        self._reached_at = now
+
+    def _cut_off(self, machines: list[Machine], now: Seconds) -> bool:
+        """Followers hear the workers and we reach none: one of those would lead better."""
+        up = sum(1 for m in machines if m.up and not m.dropping)
+        return (
+            len(self._unreached) >= max(3, CUT_OFF_SHARE * up)
+            and now - self._reached_at > self.deployment.report_s + CUT_OFF_S
+        )
+
     def _greet(self, machine: Machine) -> None:
         """No orders: the answer brings the worker's report, and shows it our token."""
         if machine.direct_in_flight:
@@ -528,10 +587,15 @@
             if self.retired:
                 return
             if report is None:
-                machine.direct_after = Seconds(self.now + 3.0)
+                machine.direct_misses += 1
+                pause = min(MOST_DIRECT_PAUSE_S, 1.5 * 2.0**machine.direct_misses)
+                machine.direct_after = Seconds(self.now + pause)
+                self._unreached.add(machine.id)
                 if perhaps:
                     machine.risk_token = max(machine.risk_token, risked)
                 return
+            machine.direct_misses = 0
+            self._reached(self.now)
             if report.machine != machine.id:
                 return
             if report.token > (self.election.token or 0):
@@ -593,13 +657,13 @@
     def _watch_machines(self, now: Seconds) -> None:
         d = self.deployment
         machines = list(self.ledger.machines.values())
-        silent_s = self.knobs.silence_leases * d.lease_s
+        silent_s = self._silent_s()
         # Those given up for their silence still count: else each that is given up would make
         # the rest look like fewer, and a leader that is cut off would give up one after another.
         heard = [now - m.last_heard for m in machines if m.up and (not m.dropping or m.mute)]
         quiet_s = 1.5 * d.report_s + 1.0
         many = sum(1 for s in heard if s > quiet_s) > max(2, 0.4 * len(heard))
-        if len(heard) > 1 and min(heard) > UNHEARD_S:
+        if (len(heard) > 1 and min(heard) > UNHEARD_S) or self._cut_off(machines, now):
             # They live or die by who answers them: let one lead whom they can reach.
             self.election.resign("no worker reaches us", rest_s=10.0)
             return
@@ -640,6 +704,8 @@
             and machine.recall_at is None
             and machine.full_until <= now
             and machine.type is not UNKNOWN_TYPE
+            and machine.known
+            and machine.deaf_since is None
             and now - machine.last_heard < 1.25 * self.deployment.report_s + 1.0
         )
 
@@ -856,6 +922,7 @@
                 continue
             machine = Machine(machine_id, self.fleet.types[pool.type], pool.zone, pool.spot)
             self._enter(machine, now)
+            machine.known = True
         self.out.note("info", f"rented {len(names)} of {pool.type} in {pool.zone}")
 
     # Records
--- a/src/crosscleat/core/placements.py
+++ b/src/crosscleat/core/placements.py
@@ -99,6 +99,11 @@
     used_memory: float = 0.0
     strays: set[AttemptKey] = field(default_factory=set)
     """Attempts at work on it that no record knows: to be stopped."""
+    known: bool = False
+    """Rented or heard of for certain in this term: what speaks for it is no old report."""
+    deaf_since: Seconds | None = None
+    """Its reports show that it does not take up what our answers say."""
+    direct_misses: int = 0
     direct_after: Seconds = LONG_AGO
     """A direct message failed: until then it hears of orders by its check-ins alone."""
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -1,4 +1,4 @@
-"""What a controller makes of submissions, without the store."""
+"""What a controller makes of submissions and questions, without the store."""
 
 from __future__ import annotations
 
@@ -6,9 +6,24 @@
 
 import msgspec
 
-from crosscleat.core.effects import Answer, Commit, Conflict, Outbox, Put, Read
+from crosscleat.core.effects import (
+    Answer,
+    Commit,
+    Conflict,
+    Found,
+    Item,
+    Later,
+    Listing,
+    News,
+    Outbox,
+    Put,
+    Read,
+    Scan,
+    Watch,
+)
 from crosscleat.core.front import Front
-from crosscleat.core.ids import TypeName, WallTime
+from crosscleat.core.ids import JobRef, Seconds, TypeName, Version, WallTime
+from crosscleat.core.jobs import live_record
 
 from .world import TYPES, deployment, job
 
@@ -16,7 +31,11 @@
 def front(types: bool = True) -> tuple[Front, Outbox]:
     out = Outbox()
     known = {kind.name: kind for kind in TYPES} if types else {}
-    return Front(deployment("c0"), out, known), out
+    return Front(deployment("c0"), out, known, lambda: Seconds(100.0)), out
+
+
+def live(ref: str, version: int, aborted: bool = False) -> Item:
+    return Item(f"live/{ref}", live_record(job(ref), WallTime(0.0), aborted), Version(version))
 
 
 def submit(**changes: Any) -> list[Any]:
@@ -36,14 +55,14 @@
 def test_what_can_never_run_is_refused_only_if_it_is_not_known() -> None:
     for changes in ({"team": "green"}, {"cpus": 9.0}, {"cpus": 8.5, "team": "blue"}, {"zone": "x"}):
         (read,) = submit(**changes)
-        assert isinstance(read, Read), "a repeat of an accepted job must never get 422"
+        assert isinstance(read, Scan), "a repeat of an accepted job must never get 422"
 
 
 def test_without_machine_types_nothing_is_decided() -> None:
     door, out = front(types=False)
     door.submit(1, job("job-1"), WallTime(0.0))
     (read,) = out.take()
-    assert isinstance(read, Read)
+    assert isinstance(read, Scan)
     read.then(None)
     (answer,) = out.take()
     assert answer == Answer(1, 503, None, 1)
@@ -56,4 +75,71 @@
     assert isinstance(commit, Commit)
     commit.then(Conflict(frozenset({"live/job-1"}), False))
     (read,) = out.take()
-    assert isinstance(read, Read) and read.key == "live/job-1"
+    assert isinstance(read, Scan)
+    read.then(Listing([live("job-1", 3)], Version(3)))
+    (answer,) = out.take()
+    assert isinstance(answer, Answer) and answer.body["status"] == "queued"
+
+
+def copied() -> tuple[Front, Outbox]:
+    """A front whose copy has job-1 and job-2, as of revision 5."""
+    door, out = front()
+    door.poll(1, JobRef("job-1"))
+    (scan,) = out.take()
+    assert isinstance(scan, Scan)
+    scan.then(Listing([live("job-1", 4), live("job-2", 5)], Version(5)))
+    assert out.take() == [
+        Answer(1, 200, {"ref": "job-1", "status": "queued", "done": 0, "running": 0})
+    ]
+    return door, out
+
+
+def test_questions_share_a_read_that_began_after_them() -> None:
+    door, out = copied()
+    door.poll(2, JobRef("job-1"))
+    (pause,) = out.take()
+    assert isinstance(pause, Later), "looks are not closer than the store's allowance admits"
+    door.poll(3, JobRef("job-2"))
+    pause.then()
+    (look,) = out.take()
+    assert isinstance(look, Watch) and look.after == 5 and look.block_s == 0.0
+    door.poll(4, JobRef("job-2"))
+    assert out.take() == [], "it came after the look began"
+    look.then(News(Version(7), [live("job-1", 7, aborted=True)]))
+    first, second, pause = out.take()
+    assert first.body["status"] == "aborted" and second.body["status"] == "queued"
+    pause.then()
+    (look,) = out.take()
+    assert look.after == 7
+    look.then(News(Version(9), [Item("live/job-2", None, Version(0))]))
+    (read,) = out.take()
+    assert isinstance(read, Read) and read.key == "ended/job-2"
+    read.then(Found(Item("ended/job-2", {"tasks": 3, "aborted": False}, Version(9)), Version(9)))
+    (answer,) = out.take()
+    assert answer.request == 4 and answer.body["status"] == "done"
+
+
+def test_a_lost_look_is_answered_at_once_and_a_copy_too_old_is_read_anew() -> None:
+    door, out = copied()
+    door.poll(2, JobRef("job-1"))
+    out.take()[0].then()
+    out.take()[0].then(None)
+    assert out.take() == [Answer(2, 503, None, 1)]
+    door.poll(3, JobRef("job-2"))
+    out.take()[0].then()
+    out.take()[0].then(News(Version(5), [], lost=True))
+    (scan,) = out.take()
+    assert isinstance(scan, Scan)
+    scan.then(Listing([live("job-2", 99, aborted=True)], Version(99)))
+    (answer,) = out.take()
+    assert answer.body["status"] == "aborted"
+
+
+def test_nobody_has_submitted_it() -> None:
+    door, out = copied()
+    door.poll(2, JobRef("job-nobody"))
+    out.take()[0].then()
+    out.take()[0].then(News(Version(6), []))
+    (read,) = out.take()
+    read.then(Found(None, Version(6)))
+    assert out.take() == [Answer(2, 404, None, None)]
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -67,8 +67,8 @@
 def test_run_times_are_not_learnt_from_attempts_that_began_in_an_earlier_term() -> None:
     leader = inherit()
     spec = leader.jobs[JobRef("job-1")].spec
-    leader.check_in(1, report(1, "running"), Seconds(50.5))
-    leader.check_in(2, report(2, "exited", "done"), Seconds(52.0))
+    leader.check_in(1, report(1, "running"), Seconds(50.5), relayed=False)
+    leader.check_in(2, report(2, "exited", "done"), Seconds(52.0), relayed=False)
     assert leader.jobs[JobRef("job-1")].complete
     # It ran for far longer than the 1.5 s that we saw of it.
     assert leader.run_times.estimate(spec) == 100.0
@@ -76,7 +76,7 @@
 
 def test_an_old_report_changes_nothing() -> None:
     leader = inherit()
-    leader.check_in(1, report(5, "running"), Seconds(50.5))
-    leader.check_in(2, report(4, "exited", "done"), Seconds(50.6))
+    leader.check_in(1, report(5, "running"), Seconds(50.5), relayed=False)
+    leader.check_in(2, report(4, "exited", "done"), Seconds(50.6), relayed=False)
     assert not leader.jobs[JobRef("job-1")].complete
     assert leader.jobs[JobRef("job-1")].placed_count() == 1
--- a/tests/world.py
+++ b/tests/world.py
@@ -707,7 +707,7 @@
             leader,
             lambda: self.ask(
                 leader,
-                lambda n: CheckIn(n, report),
+                lambda n: CheckIn(n, report, relayed=True),
                 lambda result: void(self.network.send(leader, member, lambda: returned(result))),
             ),
         )
