--- a/src/crosscleat/core/rounds.py
+++ b/src/crosscleat/core/rounds.py
@@ -25,6 +25,7 @@
 LARGE_SHARE = 0.3
 """A task that takes so much of a machine finds no room where small ones take whatever is freed."""
 KEPT_AFTER_S = 5.0
+KEPT_FROM_ALL_S = 60.0
 KEPT_SHARE = 0.125
 TROUBLED_MACHINES = 2
 """A job that failed on so many machines and succeeded on none is tried one task at a time."""
@@ -45,7 +46,7 @@
     gpus: float
     memory: float
     fetching_s: float
-    kept: JobRef | None = None
+    kept: Job | None = None
     """The job whose large tasks it is being emptied for."""
 
     def fits(self, job: Job) -> bool:
@@ -150,7 +151,13 @@
             most = max(1, int(KEPT_SHARE * len(able))) - (len(able) - len(free))
             free.sort(key=lambda r: (-r.cpus, -r.memory))
             for room in free[: max(0, min(most, job.waiting_count()))]:
-                room.kept = job.ref
+                room.kept = job
+
+    def _precedes(self, job: Job, kept: Job) -> bool:
+        """Work of a higher priority may use what is kept, until that has waited for very long."""
+        return (
+            job.spec.priority > kept.spec.priority and self._now - kept.submitted < KEPT_FROM_ALL_S
+        )
 
     def _large_on(self, job: Job, room: Room) -> bool:
         machine = room.machine
@@ -242,7 +249,7 @@
     def _may(self, job: Job, room: Room) -> bool:
         if not room.fits(job) or not room.machine.allowed(job.spec):
             return False
-        if room.kept is not None and room.kept != job.ref:
+        if room.kept is not None and room.kept is not job and not self._precedes(job, room.kept):
             return False
         if job.spec.priority < Priority.HIGH and self._free - job.spec.cpus < self._reserve:
             return False
