--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -64,28 +64,40 @@
             self.world.cancel(self.jobs[which % len(self.jobs)])
             self.world.clock.advance(0.4)
 
-    @rule(member=members, back_s=st.sampled_from((0.2, 5.0)))
+    @rule(member=members, back_s=st.sampled_from((0.05, 0.2, 5.0)))
     def crash(self, member: str, back_s: float) -> None:
         self.world.crash(member, back_s)
 
-    @rule(back_s=st.sampled_from((0.2, 3.0)))
+    @rule(back_s=st.sampled_from((0.05, 0.2, 3.0)))
     def crash_all(self, back_s: float) -> None:
         for member in MEMBERS:
             self.world.crash(member, back_s)
 
+    @rule(after_s=st.sampled_from((0.01, 0.03, 0.08)), back_s=st.sampled_from((0.05, 0.5)))
+    def crash_in_an_election(self, after_s: float, back_s: float) -> None:
+        """The leader ends; another controller does so while it takes over."""
+        leading = [m for m, p in self.world.processes.items() if p and p.controller.leader]
+        for member in leading:
+            self.world.crash(member, back_s)
+        self.world.clock.advance(after_s)
+        for member in MEMBERS:
+            if member not in leading:
+                self.world.crash(member, back_s)
+                break
+
     @rule(
         member=members,
         mode=st.sampled_from(("hold", "reset")),
-        what=st.sampled_from(("workers", "store", "peers", "all")),
+        what=st.sampled_from(("workers", "store", "peers", "all", "all but workers")),
     )
     def cut(self, member: str, mode: str, what: str) -> None:
         network = self.world.network
         if what in ("workers", "all"):
             for worker in self.world.workers:
                 network.cut(member, worker, mode)
-        if what in ("store", "all"):
+        if what in ("store", "all", "all but workers"):
             network.cut(member, REGION, mode)
-        if what in ("peers", "all"):
+        if what in ("peers", "all", "all but workers"):
             for other in MEMBERS:
                 if other != member:
                     network.cut(member, other, mode)
@@ -97,6 +109,28 @@
             for member in MEMBERS:
                 self.world.network.cut(names[which % len(names)], member, mode)
 
+    @rule(which=st.integers(0, 30), what=st.sampled_from(("answers", "direct")))
+    def deafen(self, which: int, what: str) -> None:
+        """Its reports arrive; what is sent to it does not, all of it or the direct part."""
+        names = sorted(self.world.workers)
+        if not names:
+            return
+        name = names[which % len(names)]
+        if what == "direct":
+            self.world.no_direct.add(name)
+        else:
+            self.world.network.unheard.update((member, name) for member in MEMBERS)
+
+    @rule(chance=st.sampled_from((0.0, 0.2, 0.6)))
+    def late_copies(self, chance: float) -> None:
+        self.world.copies = chance
+
+    @rule(which=st.integers(0, 30))
+    def restart_machine(self, which: int) -> None:
+        names = [n for n, w in sorted(self.world.workers.items()) if not w.gone]
+        if names:
+            self.world.workers[names[which % len(names)]].restart()
+
     @rule()
     def heal(self) -> None:
         self.world.network.heal()
@@ -140,11 +174,18 @@
         if not hasattr(self, "world"):
             return
         world = self.world
-        world.flaky = 0.0
+        world.flaky = world.copies = 0.0
+        world.no_direct.clear()
         world.network.heal()
         world.store.out_until = 0.0
         world.store.refuses.clear()
-        world.clock.advance(70.0)
+        over = world.clock.now
+        known = sorted(world.accepted)
+        for ref in known:
+            world.poll_for(ref, 75.0)
+        world.clock.advance(75.0)
+        for ref in known:
+            assert world.answered.get(ref, 0.0) > over, f"no question about {ref} is answered"
         for worker in world.workers.values():
             worker.faulty = False
         for ref in sorted(world.accepted):
--- a/tests/world.py
+++ b/tests/world.py
@@ -130,6 +130,8 @@
         self._clock = clock
         self._rng = rng
         self._cuts: dict[frozenset[str], str] = {}
+        self.unheard: set[tuple[str, str]] = set()
+        """Pairs of hosts of which the first can't make itself heard by the second."""
         self._held: list[tuple[frozenset[str], Callable[[], None]]] = []
 
     def cut(self, one: str, other: str, mode: str) -> None:
@@ -137,12 +139,15 @@
 
     def heal(self) -> None:
         self._cuts.clear()
+        self.unheard.clear()
         held, self._held = self._held, []
         for _, deliver in held:
             self._clock.after(self._rng.uniform(0.001, 0.05), deliver)
 
     def send(self, source: str, target: str, deliver: Callable[[], None]) -> bool:
         """False: refused at once. Otherwise it arrives now, or after the cut, or never."""
+        if (source, target) in self.unheard:
+            return True
         pair = frozenset((source, target))
         mode = self._cuts.get(pair)
         if mode == "reset":
@@ -301,6 +306,17 @@
             left = LEASE_S
         self.world.clock.after(left, self.watch_lease)
 
+    def restart(self) -> None:
+        """Power lost and back at once: it counts its sessions from 1 again."""
+        self.tasks.clear()
+        self.session = 1
+        self.tally = 0
+        self.token = 0
+        self.lease_from = self.world.clock.now
+        self.report_number += 1
+        if self.up and not self.gone:
+            self.check_in()
+
     @property
     def hung(self) -> bool:
         return self.world.clock.now < self.hung_until
@@ -448,6 +464,12 @@
         self.cancel_asked: set[str] = set()
         self.told_final: dict[str, str] = {}
         self.flaky = 0.0
+        self.copies = 0.0
+        """How often a copy of a report comes late."""
+        self.no_direct: set[str] = set()
+        """Workers that direct messages do not reach."""
+        self.answered: dict[str, float] = {}
+        """When a question about the job was last answered."""
         self.cloud_down = False
         self.hires: dict[str, list[str]] = {}
         self.started = 0
@@ -678,21 +700,26 @@
             orders = result if isinstance(result, fx.Orders) else None
             self.network.send(member, worker, lambda: answered(orders))
 
-        def arrive() -> None:
-            process = self.processes[member]
-            if process is None:
-                return
-            leader = process.controller.election.leader
-            if process.controller.leader is not None:
-                self.ask(member, lambda n: CheckIn(n, report), answer)
-            elif leader is None or leader == member:
-                answer(None)
-            else:
-                self.relay(member, leader, report, answer)
-
-        if not self.network.send(worker, member, arrive):
+        if self.rng.random() < self.copies:
+            # The copy may come to another controller, and to one of a later term.
+            other = self.rng.choice(MEMBERS)
+            late = self.rng.choice((0.5, 3.0, 12.0, 40.0))
+            self.clock.after(late, lambda: self.hear_report(other, report, void))
+        if not self.network.send(worker, member, lambda: self.hear_report(member, report, answer)):
             self.clock.after(0.01, lambda: answered(None))
 
+    def hear_report(self, member: str, report: Report, answer: Callable[[Any], None]) -> None:
+        process = self.processes[member]
+        if process is None:
+            return
+        leader = process.controller.election.leader
+        if process.controller.leader is not None:
+            self.ask(member, lambda n: CheckIn(n, report), answer)
+        elif leader is None or leader == member:
+            answer(None)
+        else:
+            self.relay(member, leader, report, answer)
+
     def relay(
         self, member: str, leader: str, report: Report, answer: Callable[[Any], None]
     ) -> None:
@@ -735,6 +762,8 @@
         if self.rng.random() < self.flaky:
             # Held up on the way: executed late, and so perhaps after other orders.
             self.clock.after(self.rng.choice((0.5, 6.0, 40.0)), execute)
+        elif call.address in self.no_direct:
+            self.clock.after(0.8, lambda: close(None, self.rng.random() < 0.5))
         elif not self.network.send(member, call.address, execute):
             self.clock.after(0.01, lambda: close(None, False))
         self.clock.after(2.0, lambda: close(None, True))
@@ -824,6 +853,8 @@
         known = ref in self.accepted
 
         def answered(answer: fx.Answer) -> None:
+            if answer.status in (200, 404):
+                self.answered[ref] = self.clock.now
             if answer.status == 404 and known:
                 raise RuleBroken(f"forgotten: {ref}")
             if answer.status == 200:
@@ -833,6 +864,12 @@
 
         self.ask(self.rng.choice(MEMBERS), lambda n: Poll(n, JobRef(ref)), answered)
 
+    def poll_for(self, ref: str, seconds: float) -> None:
+        """As users do, every five seconds."""
+        self.poll(ref)
+        if seconds > 5.0:
+            self.clock.after(5.0, lambda: self.poll_for(ref, seconds - 5.0))
+
     def cancel(self, ref: str, tries: int = 30) -> None:
         self.cancel_asked.add(ref)
 
