--- /dev/null
+++ b/tests/test_unheard.py
@@ -0,0 +1,201 @@
+"""Machines that are heard but do not hear, old copies of reports, and names that begin anew."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from crosscleat.core.effects import Answer, Direct, Item, Orders, Outbox
+from crosscleat.core.election import Election
+from crosscleat.core.ids import (
+    MachineId,
+    Member,
+    Seconds,
+    Seen,
+    Session,
+    Team,
+    Token,
+    Version,
+    WallTime,
+    Zone,
+)
+from crosscleat.core.jobs import Job, live_key, live_record
+from crosscleat.core.leader import Leader
+from crosscleat.core.records import WorkRecords
+from crosscleat.core.reports import ListedMachine, Report
+
+from .world import LEASE_S, MEMBERS, TYPES, World, deployment, job
+
+BEGAN = Seconds(50.0)
+TOKEN = 9
+
+
+class Term:
+    """A leader by itself, whose clock and calls are in the test's hands."""
+
+    def __init__(self, live: list[Item] | None = None, work: list[Item] | None = None) -> None:
+        self.out = Outbox()
+        self.now = BEGAN
+        self.lost: list[str] = []
+        election = Election(
+            Member("c0"), "boot", self.out, Random(1), lambda: self.now,
+            lambda _delay, _then: None, lambda _token: None, self.lost.append,
+        )  # fmt: skip
+        election.token = Token(TOKEN)
+        election.contact = BEGAN
+        types = {kind.name: kind for kind in TYPES}
+        self.leader = Leader(
+            deployment("c0"), election, self.out, Random(1), types, BEGAN, WallTime(0.0)
+        )
+        self.leader.load(live or [], work or [], [], BEGAN)
+
+    def step(self, seconds: float) -> None:
+        self.now = self.leader.now = Seconds(self.now + seconds)
+        self.leader.election.contact = self.leader.watched = self.now
+
+    def hear(
+        self, seen: tuple[int, int], token: int = TOKEN, relayed: bool = False
+    ) -> list[object]:
+        report = Report(
+            MachineId("m-0"), "m-0", TYPES[1].name, Zone("a"), True,
+            Seen(Session(seen[0]), seen[1]), token, None, (),
+        )  # fmt: skip
+        self.out.take()
+        self.leader.check_in(1, report, self.now, relayed)
+        return list(self.out.take())
+
+    @property
+    def usable(self) -> bool:
+        return self.leader.usable(self.leader.ledger.machines[MachineId("m-0")], self.now)
+
+    @property
+    def dropping(self) -> bool:
+        return self.leader.ledger.machines[MachineId("m-0")].dropping
+
+
+def held(session: int) -> tuple[list[Item], list[Item]]:
+    """What the store holds of one job with a task on m-0, in that session."""
+    spec = job("job-1", tasks=1)
+    before = Job(spec, Version(3), Seconds(0.0))
+    before.place(MachineId("m-0"), Session(session))
+    record = WorkRecords(16.0, 8).of(before, before.stretch_of(0))
+    live = Item(live_key(spec.ref), live_record(spec, WallTime(-40.0), aborted=False), Version(3))
+    return [live], [Item(record.key, record.value(), Version(4))]
+
+
+def test_a_machine_of_which_only_an_old_copy_speaks_gets_no_work() -> None:
+    term = Term()
+    # It may have been deleted long ago: no tombstone of ours tells.
+    answers = term.hear((1, 40), token=TOKEN - 2)
+    assert any(isinstance(a, Direct) and a.orders == () for a in answers), "asks it directly"
+    assert not term.usable
+    term.step(0.5)
+    term.hear((1, 41))
+    assert term.usable, "it has seen our token, so it lives"
+
+
+def test_a_late_copy_renews_nothing() -> None:
+    term = Term()
+    term.hear((1, 40))
+    term.step(3.0)
+    machine = term.leader.ledger.machines[MachineId("m-0")]
+    before = (machine.last_heard, machine.last_answer, machine.seen)
+    for seen in ((1, 40), (1, 7)):
+        assert term.hear(seen) == [Answer(1, 503, None, 1)]
+    assert (machine.last_heard, machine.last_answer, machine.seen) == before
+
+
+def test_a_session_that_ended_though_it_was_answered_shows_a_machine_that_is_deaf() -> None:
+    term = Term()
+    for tally in range(1, 6):
+        (answer,) = term.hear((1, tally))
+        assert isinstance(answer, Orders)
+        term.step(2.0)
+    assert term.usable
+    term.hear((2, 6))
+    assert term.dropping
+
+
+def test_a_session_that_ended_in_a_cut_is_no_sign_of_deafness() -> None:
+    term = Term()
+    term.hear((1, 1))
+    term.step(LEASE_S + 1.0)
+    term.hear((2, 2))
+    assert not term.dropping
+
+
+@pytest.mark.parametrize("session", [1, 4])
+def test_a_machine_that_counts_its_sessions_anew_is_returned(session: int) -> None:
+    live, work = held(session=4)
+    term = Term(live, work)
+    term.hear((session, 1), token=TOKEN - 1)
+    assert not term.dropping, "it may be an old copy"
+    term.step(0.5)
+    term.hear((session, 2))
+    assert term.dropping == (session == 1)
+
+
+def test_a_leader_whom_no_worker_can_reach_lets_a_follower_lead() -> None:
+    term = Term()
+    listed = [
+        ListedMachine(
+            MachineId(f"m-{n}"), f"m-{n}", TypeName("large"), Zone("a"), True, "running", 9
+        )
+        for n in range(5)
+    ]
+    term.leader.listed(listed)
+    greetings = [effect for effect in term.out.take() if isinstance(effect, Direct)]
+    assert len(greetings) == 5
+    for greeting in greetings[:4]:
+        greeting.then(None, False)
+    # A single one that hears us speaks against it.
+    term.step(6.0)
+    term.hear((1, 1), relayed=False)
+    term.leader.tick(term.now)
+    assert term.lost == []
+    for greeting in greetings[:4]:
+        greeting.then(None, False)
+    term.step(6.0)
+    term.hear((1, 2), relayed=True)
+    term.leader.tick(term.now)
+    assert term.lost == ["no worker reaches us"]
+
+
+@pytest.fixture
+def busy() -> World:
+    world = World(3)
+    world.clock.advance(3.0)
+    world.submit(job("job-long", tasks=3, estimate_s=60.0, team=Team("blue")))
+    world.clock.advance(15.0)
+    for worker in world.workers.values():
+        worker.faulty = False
+    return world
+
+
+def hosts(world: World) -> list[str]:
+    return [name for name, worker in world.workers.items() if worker.tasks]
+
+
+def test_work_on_a_machine_that_hears_nothing_is_done_elsewhere(busy: World) -> None:
+    name = hosts(busy)[0]
+    busy.network.unheard.update((member, name) for member in MEMBERS)
+    busy.clock.advance(LEASE_S + 10.0)
+    assert busy.workers[name].gone, "returned, so that it holds nothing any more"
+    busy.clock.advance(120.0)
+    busy.poll("job-long")
+    busy.clock.advance(1.0)
+    assert busy.told_final == {"job-long": "done"}
+
+
+def test_a_machine_that_only_direct_messages_do_not_reach_stays_of_use(busy: World) -> None:
+    name = hosts(busy)[0]
+    busy.no_direct.update(busy.workers)
+    for number in range(4):
+        busy.submit(job(f"job-{number}", tasks=2, estimate_s=3.0, team=Team("blue")))
+        busy.clock.advance(12.0)
+    assert not busy.workers[name].gone
+    for number in range(4):
+        busy.poll(f"job-{number}")
+    busy.clock.advance(1.0)
+    assert set(busy.told_final) >= {f"job-{number}" for number in range(4)}
