--- a/tests/test_unheard.py
+++ b/tests/test_unheard.py
@@ -139,9 +139,7 @@
 def test_a_leader_whom_no_worker_can_reach_lets_a_follower_lead() -> None:
     term = Term()
     listed = [
-        ListedMachine(
-            MachineId(f"m-{n}"), f"m-{n}", TypeName("large"), Zone("a"), True, "running", 9
-        )
+        ListedMachine(MachineId(f"m-{n}"), f"m-{n}", TYPES[1].name, Zone("a"), True, "running", 9)
         for n in range(5)
     ]
     term.leader.listed(listed)
