--- a/src/crosscleat/core/fleet.py
+++ b/src/crosscleat/core/fleet.py
@@ -51,6 +51,8 @@
 class Wanted:
     pool: PoolKey
     count: int
+    overdue: bool = False
+    """For work that has waited so long that no budget may hold it back: all is served."""
 
 
 @dataclass(slots=True)
@@ -211,14 +213,17 @@
         """Machines of one pool for all the tasks that are best housed there."""
         wanted: PoolKey | None = None
         machines = 0.0
+        overdue = False
         for job, count in homeless:
-            found = self._pick(job.spec, Seconds(now - job.submitted), now)
+            age = Seconds(now - job.submitted)
+            found = self._pick(job.spec, age, now)
             if found is not None and wanted in (None, found[0]):
                 wanted = found[0]
                 machines += count / found[1]
+                overdue = overdue or age > SERVED_S
         if wanted is None:
             return None
-        return Wanted(wanted, min(MOST_PER_RENTAL, math.ceil(machines)))
+        return Wanted(wanted, min(MOST_PER_RENTAL, math.ceil(machines)), overdue)
 
     def _warm_room(self, capacity: float, now: Seconds) -> Wanted | None:
         """Room for what is usually asked for, kept ready on cheap machines.
@@ -242,20 +247,28 @@
         A dear machine is for work that it can still bring in on time, or that has waited so long
         that it must be served at any price.
         """
-        best: tuple[float, float, PoolKey, int] | None = None
-        for kind in self.types.values():
-            if not kind.holds(spec):
+        suited = [
+            (kind, key)
+            for kind in self.types.values()
+            if kind.holds(spec)
+            for key in self._pools_of(kind)
+            if (spec.spot or not key.spot) and spec.zone in (None, key.zone)
+        ]
+        # What may go nowhere but to dear machines has nothing to wait for.
+        choosy = any(not self.dear(kind, key.spot) for kind, key in suited)
+        options = []
+        for kind, key in suited:
+            late = self._late(spec, kind) < age < SERVED_S
+            if self.pool(key).refused_until > now:
+                continue
+            if choosy and late and self.dear(kind, key.spot):
                 continue
             per = max(1, fitting(spec, kind.cpus, kind.memory_gb, kind.gpus))
-            for key in self._open(kind, now):
-                if (key.spot and not spec.spot) or (spec.zone not in (None, key.zone)):
-                    continue
-                if self.dear(kind, key.spot) and self._late(spec, kind) < age < SERVED_S:
-                    continue
-                rank = (kind.price_for(key.spot) / per, kind.cpus, key, per)
-                if best is None or rank[:2] < best[:2]:
-                    best = rank
-        return (best[2], best[3]) if best else None
+            options.append((kind.price_for(key.spot) / per, kind.cpus, key, per))
+        if not options:
+            return None
+        _, _, pool, per = min(options, key=lambda option: option[:2])
+        return pool, per
 
     def _late(self, spec: JobSpec, kind: MachineType) -> float:
         """The age from which renting such a machine can't complete the job's tasks on time."""
@@ -267,17 +280,16 @@
             (kind.price_for(key.spot) / max(kind.cpus, 1e-9), kind.cpus, key)
             for kind in self.types.values()
             if 0.0 < kind.cpus <= 2.0 * cpus
-            for key in self._open(kind, now)
-            if self.dear(kind, key.spot) == dear
+            for key in self._pools_of(kind)
+            if self.pool(key).refused_until <= now and self.dear(kind, key.spot) == dear
         ]
         if not options:
             return None
         _, size, key = min(options, key=lambda option: option[:2])
         return Wanted(key, min(MOST_PER_RENTAL, max(1, int(cpus / size))))
 
-    def _open(self, kind: MachineType, now: Seconds) -> list[PoolKey]:
-        keys = [PoolKey(kind.name, zone, spot) for zone in kind.zones for spot in (True, False)]
-        return [key for key in keys if self.pool(key).refused_until <= now]
+    def _pools_of(self, kind: MachineType) -> list[PoolKey]:
+        return [PoolKey(kind.name, zone, spot) for zone in kind.zones for spot in (True, False)]
 
     def returnable(self, machines: Iterable[Machine], now: Seconds) -> list[Machine]:
         """Idle machines that the warm room does not need, the dearest first."""
--- a/src/crosscleat/core/leader.py
+++ b/src/crosscleat/core/leader.py
@@ -662,7 +662,9 @@
         # the rest look like fewer, and a leader that is cut off would give up one after another.
         heard = [now - m.last_heard for m in machines if m.up and (not m.dropping or m.mute)]
         quiet_s = 1.5 * d.report_s + 1.0
-        many = sum(1 for s in heard if s > quiet_s) > max(2, 0.4 * len(heard))
+        many = sum(1 for s in heard if s > quiet_s) > max(2, 0.4 * len(heard)) or (
+            len(heard) > 1 and min(heard) > quiet_s
+        )
         if (len(heard) > 1 and min(heard) > UNHEARD_S) or self._cut_off(machines, now):
             # They live or die by who answers them: let one lead whom they can reach.
             self.election.resign("no worker reaches us", rest_s=10.0)
@@ -844,7 +846,8 @@
         )
         if wanted is not None and not self._renting and self._heard_of_fleet(now):
             more = self._rate(wanted)
-            if self.budget.admits(rate, more, self._waiting_cost(jobs), now):
+            waiting = self._waiting_cost(jobs)
+            if wanted.overdue or self.budget.admits(rate, more, waiting, now):
                 self._rent(wanted)
         for machine in self.fleet.returnable(machines, now):
             self.drop(machine, "idle")
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,90 @@
+"""What is rented for waiting work, and what is given back."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from crosscleat.core.fleet import Fleet, PoolKey, Wanted
+from crosscleat.core.ids import MachineId, Seconds, Team, TypeName, Version, Zone
+from crosscleat.core.jobs import Job
+from crosscleat.core.model import Knobs
+from crosscleat.core.placements import Machine
+
+from .world import TEAMS, TYPES, job
+
+NOW = Seconds(500.0)
+DUE_S = 60.0
+
+
+def fleet() -> Fleet:
+    made = Fleet(Knobs(headroom=0.0, swings=0.0), lambda _: DUE_S, lambda spec: spec.estimate_s)
+    made.types = {kind.name: kind for kind in TYPES}
+    return made
+
+
+def waiting(age: float, **changes: Any) -> Job:
+    spec = job("job-1", team=Team("blue"), **changes)
+    return Job(spec, Version(1), Seconds(NOW - age))
+
+
+def want(made: Fleet, jobs: list[Job], machines: list[Machine] | None = None) -> Wanted | None:
+    return made.wanted(jobs, TEAMS, {}, machines or [], NOW)
+
+
+def full(count: int) -> list[Machine]:
+    machines = [Machine(MachineId(f"m-{n}"), TYPES[1], Zone("a"), True) for n in range(count)]
+    for one in machines:
+        one.used_cpus = 8.0
+    return machines
+
+
+def refuse_cheap(made: Fleet) -> None:
+    for kind in TYPES:
+        for zone in kind.zones:
+            made.pool(PoolKey(kind.name, zone, True)).refuse(NOW)
+
+
+def test_one_batch_houses_all_that_waits_when_there_is_hardly_any_room() -> None:
+    jobs = [waiting(0.5, tasks=4, cpus=1.0) for _ in range(5)]
+    found = want(fleet(), jobs)
+    assert found is not None and found.pool.spot
+    size = next(kind.cpus for kind in TYPES if kind.name == found.pool.type)
+    assert found.count * size >= 20
+
+
+def test_a_passing_burst_rents_nothing_where_there_is_room_enough_beside_it() -> None:
+    made = fleet()
+    busy = full(10)
+    assert want(made, [waiting(0.5, tasks=4)], busy) is None
+    assert want(made, [waiting(30.0, tasks=4)], busy) is not None, "it has waited for long"
+
+
+def test_dear_machines_are_not_rented_for_what_they_cannot_bring_in_on_time() -> None:
+    made = fleet()
+    refuse_cheap(made)
+    busy = full(10)
+    assert want(made, [waiting(10.0)], busy) is not None
+    assert want(made, [waiting(DUE_S - 2.0)], busy) is None
+    served = want(made, [waiting(120.0)], busy)
+    assert served is not None and served.overdue, "all work is served in the end, at any price"
+    ordinary = want(made, [waiting(DUE_S - 2.0, spot=False)], busy)
+    assert ordinary is not None and not ordinary.pool.spot, "it has no cheap ones to wait for"
+
+
+def test_tasks_count_on_room_that_is_there_or_boots() -> None:
+    booting = Machine(MachineId("m-0"), TYPES[1], Zone("a"), True)
+    assert want(fleet(), [waiting(30.0, tasks=4, cpus=2.0)], [booting]) is None
+    found = want(fleet(), [waiting(30.0, tasks=6, cpus=2.0)], [booting])
+    assert found == Wanted(PoolKey(TypeName("small"), Zone("a"), True), 1)
+
+
+def test_idle_dear_machines_are_returned_before_the_warm_room_on_cheap_ones() -> None:
+    made = fleet()
+    cheap = Machine(MachineId("m-0"), TYPES[1], Zone("a"), True)
+    dear = Machine(MachineId("m-1"), TYPES[1], Zone("a"), False)
+    for one in (cheap, dear):
+        one.up = True
+        one.idle_since = Seconds(NOW - 10.0)
+    for at in range(100):
+        made.demand.sample(8.0, Seconds(NOW - 100.0 + at))
+    assert made.returnable([cheap, dear], NOW) == [dear]
