--- a/src/crosscleat/core/controller.py
+++ b/src/crosscleat/core/controller.py
@@ -6,10 +6,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from random import Random
 from typing import Any
 
+import msgspec
+
 from .effects import (
     Answer,
     Effect,
@@ -37,32 +38,27 @@
 WATCH_S = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class Tick:
+class Tick(msgspec.Struct, frozen=True):
     pass
 
 
-@dataclass(frozen=True, slots=True)
-class Began:
+class Began(msgspec.Struct, frozen=True):
     """The process is up."""
 
 
-@dataclass(frozen=True, slots=True)
-class Completed:
+class Completed(msgspec.Struct, frozen=True):
     """A call's result, or the end of a delay: run its continuation."""
 
     then: Callable[..., None]
     results: tuple[Any, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class Submit:
+class Submit(msgspec.Struct, frozen=True):
     request: int
     spec: JobSpec
 
 
-@dataclass(frozen=True, slots=True)
-class Refuse:
+class Refuse(msgspec.Struct, frozen=True):
     """A submission that is malformed, with its job's name if that much is readable."""
 
     request: int
@@ -70,20 +66,17 @@
     status: int
 
 
-@dataclass(frozen=True, slots=True)
-class Poll:
+class Poll(msgspec.Struct, frozen=True):
     request: int
     ref: JobRef
 
 
-@dataclass(frozen=True, slots=True)
-class Abort:
+class Abort(msgspec.Struct, frozen=True):
     request: int
     ref: JobRef
 
 
-@dataclass(frozen=True, slots=True)
-class CheckIn:
+class CheckIn(msgspec.Struct, frozen=True):
     """A worker's report, received here or relayed by another controller."""
 
     request: int
@@ -91,15 +84,13 @@
     relayed: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Progress:
+class Progress(msgspec.Struct, frozen=True):
     """The leader's counts of done and running tasks, for display."""
 
     counts: dict[str, tuple[int, int]]
 
 
-@dataclass(frozen=True, slots=True)
-class PeerGone:
+class PeerGone(msgspec.Struct, frozen=True):
     """A peer's link closed and its address refuses connections: its process may have ended."""
 
     member: Member
--- a/src/crosscleat/core/effects.py
+++ b/src/crosscleat/core/effects.py
@@ -7,31 +7,29 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
+import msgspec
+
 from .ids import LeaseId, Session, Token, Version
 
 Record = Any
 """Plain data as the store keeps it: maps, lists, text, numbers."""
 
 
-@dataclass(frozen=True, slots=True)
-class Item:
+class Item(msgspec.Struct, frozen=True):
     key: str
     value: Record
     version: Version
 
 
-@dataclass(frozen=True, slots=True)
-class Put:
+class Put(msgspec.Struct, frozen=True):
     key: str
     value: Record
     lease: LeaseId | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Remove:
+class Remove(msgspec.Struct, frozen=True):
     key: str
 
 
@@ -39,37 +37,31 @@
 # request may have been executed, or may still be.
 
 
-@dataclass(frozen=True, slots=True)
-class Committed:
+class Committed(msgspec.Struct, frozen=True):
     revision: Version
 
 
-@dataclass(frozen=True, slots=True)
-class Conflict:
+class Conflict(msgspec.Struct, frozen=True):
     failed: frozenset[str]
     repeated: bool
     """An earlier try of the same request may have been the one that changed the keys."""
 
 
-@dataclass(frozen=True, slots=True)
-class NoSuchLease:
+class NoSuchLease(msgspec.Struct, frozen=True):
     pass
 
 
-@dataclass(frozen=True, slots=True)
-class Found:
+class Found(msgspec.Struct, frozen=True):
     item: Item | None
     revision: Version
 
 
-@dataclass(frozen=True, slots=True)
-class Listing:
+class Listing(msgspec.Struct, frozen=True):
     items: list[Item]
     revision: Version
 
 
-@dataclass(frozen=True, slots=True)
-class News:
+class News(msgspec.Struct, frozen=True):
     """Changes after a revision; a version of 0 marks a removed key. `lost`: reread everything."""
 
     revision: Version
@@ -77,8 +69,7 @@
     lost: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Commit:
+class Commit(msgspec.Struct, frozen=True):
     conditions: tuple[tuple[str, Version], ...]
     writes: tuple[Put | Remove, ...]
     then: Callable[[Committed | Conflict | NoSuchLease | None], None]
@@ -87,23 +78,20 @@
     """A user waits: may share a transaction with others, and fails at once without a store."""
 
 
-@dataclass(frozen=True, slots=True)
-class Read:
+class Read(msgspec.Struct, frozen=True):
     key: str
     then: Callable[[Found | None], None]
     patience_s: float = 1.5
     for_user: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Scan:
+class Scan(msgspec.Struct, frozen=True):
     prefix: str
     then: Callable[[Listing | None], None]
     for_user: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Watch:
+class Watch(msgspec.Struct, frozen=True):
     prefix: str
     after: Version
     block_s: float
@@ -111,36 +99,30 @@
     for_user: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Grant:
+class Grant(msgspec.Struct, frozen=True):
     life_s: float
     then: Callable[[LeaseId | None], None]
 
 
-@dataclass(frozen=True, slots=True)
-class Touch:
+class Touch(msgspec.Struct, frozen=True):
     lease: LeaseId
     then: Callable[[bool | None], None]
     """True: renewed. False: the lease has ended."""
 
 
-@dataclass(frozen=True, slots=True)
-class Revoke:
+class Revoke(msgspec.Struct, frozen=True):
     lease: LeaseId
 
 
-@dataclass(frozen=True, slots=True)
-class ListTypes:
+class ListTypes(msgspec.Struct, frozen=True):
     then: Callable[[Any], None]
 
 
-@dataclass(frozen=True, slots=True)
-class ListMachines:
+class ListMachines(msgspec.Struct, frozen=True):
     then: Callable[[Any], None]
 
 
-@dataclass(frozen=True, slots=True)
-class Rent:
+class Rent(msgspec.Struct, frozen=True):
     name: str
     type: str
     zone: str
@@ -150,27 +132,23 @@
     """Names of the machines; False: refused for lack of capacity; None: unknown."""
 
 
-@dataclass(frozen=True, slots=True)
-class DeleteMachines:
+class DeleteMachines(msgspec.Struct, frozen=True):
     machines: tuple[str, ...]
     then: Callable[[bool], None]
 
 
-@dataclass(frozen=True, slots=True)
-class StartOrder:
+class StartOrder(msgspec.Struct, frozen=True):
     task: str
     attempt: int
 
 
-@dataclass(frozen=True, slots=True)
-class StopOrder:
+class StopOrder(msgspec.Struct, frozen=True):
     task: str
     attempt: int
     grace_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class ClearOrder:
+class ClearOrder(msgspec.Struct, frozen=True):
     task: str
     attempt: int
 
@@ -178,8 +156,7 @@
 Order = StartOrder | StopOrder | ClearOrder
 
 
-@dataclass(frozen=True, slots=True)
-class Direct:
+class Direct(msgspec.Struct, frozen=True):
     """Orders sent straight to a worker."""
 
     address: str
@@ -190,8 +167,7 @@
     """The worker's report, or None; and whether the orders may still reach the worker."""
 
 
-@dataclass(frozen=True, slots=True)
-class Answer:
+class Answer(msgspec.Struct, frozen=True):
     """The answer to one request from outside."""
 
     request: int
@@ -200,8 +176,7 @@
     retry_after_s: int | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Orders:
+class Orders(msgspec.Struct, frozen=True):
     """The answer to one worker's check-in."""
 
     request: int
@@ -209,23 +184,20 @@
     orders: tuple[Order, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Later:
+class Later(msgspec.Struct, frozen=True):
     """Run `then` after a delay."""
 
     delay_s: float
     then: Callable[[], None]
 
 
-@dataclass(frozen=True, slots=True)
-class Tell:
+class Tell(msgspec.Struct, frozen=True):
     """A message for every other controller that listens."""
 
     message: Any
 
 
-@dataclass(frozen=True, slots=True)
-class Note:
+class Note(msgspec.Struct, frozen=True):
     """A line for the log."""
 
     level: str
--- a/src/crosscleat/core/reports.py
+++ b/src/crosscleat/core/reports.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import msgspec
 
 from .ids import Attempt, MachineId, Seen, TaskId, TypeName, Zone
 
@@ -11,16 +11,14 @@
 FETCHING = "fetching"
 
 
-@dataclass(frozen=True, slots=True)
-class TaskReport:
+class TaskReport(msgspec.Struct, frozen=True):
     task: TaskId
     attempt: Attempt
     state: str
     cause: str | None
 
 
-@dataclass(frozen=True, slots=True)
-class Report:
+class Report(msgspec.Struct, frozen=True):
     machine: MachineId
     address: str
     type: TypeName
@@ -32,8 +30,7 @@
     tasks: tuple[TaskReport, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class ListedMachine:
+class ListedMachine(msgspec.Struct, frozen=True):
     """A machine as the cloud's list shows it, some seconds late."""
 
     id: MachineId
--- a/src/crosscleat/core/rounds.py
+++ b/src/crosscleat/core/rounds.py
@@ -12,6 +12,8 @@
 from dataclasses import dataclass
 from random import Random
 
+import msgspec
+
 from .ids import JobRef, MachineId, Seconds, TypeName
 from .jobs import Job
 from .model import MachineType, Priority, Shape, TeamLimits
@@ -26,13 +28,13 @@
 """A task that takes so much of a machine finds no room where small ones take whatever is freed."""
 KEPT_AFTER_S = 5.0
 KEPT_FROM_ALL_S = 60.0
-KEPT_SHARE = 0.125
+KEPT_SHARE = 0.3
+QUOTA_SHARE = 0.05
 TROUBLED_MACHINES = 2
 """A job that failed on so many machines and succeeded on none is tried one task at a time."""
 
 
-@dataclass(frozen=True, slots=True)
-class Choice:
+class Choice(msgspec.Struct, frozen=True):
     job: JobRef
     machine: MachineId
 
@@ -283,9 +285,14 @@
         limits = self._teams.get(job.spec.team)
         if limits is None:
             return False
-        cpus = self._cpus.get(job.spec.team, 0.0) + job.spec.cpus
+        used = self._cpus.get(job.spec.team, 0.0)
+        cpus = used + job.spec.cpus
         gpus = self._gpus.get(job.spec.team, 0.0) + job.spec.gpus
-        return within(cpus, limits.cpus_max) and within(gpus, limits.gpus_max)
+        most = limits.cpus_max
+        if job.spec.priority < Priority.HIGH and used > 0.5 * most > 0.0:
+            # A limit is room like any other: the last of it is for urgent work.
+            most -= min(2.0 * self._reserve, QUOTA_SHARE * most)
+        return within(cpus, most) and within(gpus, limits.gpus_max)
 
     def _take(self, job: Job, room: Room) -> None:
         spec = job.spec
--- a/tests/test_rounds.py
+++ b/tests/test_rounds.py
@@ -37,9 +37,11 @@
     return Machine(MachineId(name), TYPES[kind], Zone(zone), spot)
 
 
-def plan(jobs: list[Job], machines: list[Machine], most: int = 100) -> list[Choice]:
+def plan(
+    jobs: list[Job], machines: list[Machine], most: int = 100, reserve: float = 0.0
+) -> list[Choice]:
     scorer = Scorer(deployment("c0"), RunTimes())
-    return Round(Ledger(), scorer, TEAMS, Random(1), NOW, 0.05, 0.0).plan(jobs, machines, most)
+    return Round(Ledger(), scorer, TEAMS, Random(1), NOW, 0.05, reserve).plan(jobs, machines, most)
 
 
 jobs = st.builds(
@@ -173,3 +175,12 @@
     for one in fleet[:-1]:
         one.used_cpus = 8.0
     assert [c.machine for c in plan([waiting("job-1", tasks=1)], fleet)] == ["m-399"]
+
+
+def test_the_last_of_a_teams_limit_is_for_its_urgent_work() -> None:
+    fleet = [machine(f"m-{n}") for n in range(8)]
+    for priority, most in ((Priority.NORMAL, 13), (Priority.HIGH, 14)):
+        many = waiting("job-1", tasks=40, cpus=1.0, memory_gb=0.1, priority=priority)
+        assert len(plan([many], fleet, reserve=1.0)) == most, "red may use 14 CPUs"
+    alone = waiting("job-1", tasks=1, cpus=8.0, team=Team("red"))
+    assert len(plan([alone], fleet, reserve=20.0)) == 1, "but none is kept from starting at all"
