--- a/src/crosscleat/adapters/peer_link.py
+++ b/src/crosscleat/adapters/peer_link.py
@@ -159,19 +159,19 @@
 
 
 class PeerServer:
-    """Takes the others' links: answers their relays and hears the leader's counts."""
+    """Takes the others' links: answers their relays and passes on what they tell."""
 
     def __init__(
         self,
         peers: set[str],
         check_in: Handler,
         health: Health,
-        counts: Callable[[wire.Counts], None],
+        tell: Callable[[str, wire.Counts | wire.Part | wire.Proposed], None],
     ) -> None:
         self._health = health
         self._peers = peers
         self._check_in = check_in
-        self._counts = counts
+        self._tell = tell
         self._tasks: set[asyncio.Task[None]] = set()
         self._scolded: set[str] = set()
 
@@ -194,8 +194,8 @@
                     task = asyncio.create_task(self._answer(message, writer))
                     self._tasks.add(task)
                     task.add_done_callback(self._tasks.discard)
-                elif isinstance(message, wire.Counts):
-                    self._counts(message)
+                elif isinstance(message, wire.Counts | wire.Part | wire.Proposed):
+                    self._tell(peer, message)
                 elif isinstance(message, wire.Ping):
                     self._health.heard(peer, message)
                     writer.write(wire.frame(wire.Ping(self._health.served())))
--- a/src/crosscleat/app.py
+++ b/src/crosscleat/app.py
@@ -19,7 +19,18 @@
 from .adapters.peer_link import Health, Link, PeerServer
 from .adapters.state_client import StateClient
 from .adapters.worker_client import WorkerClient
-from .core.controller import Began, CheckIn, Completed, Controller, Input, PeerGone, Progress, Tick
+from .core.controller import (
+    Began,
+    CheckIn,
+    Completed,
+    Controller,
+    Input,
+    PartGiven,
+    PeerGone,
+    Progress,
+    Proposed,
+    Tick,
+)
 from .core.effects import (
     Answer,
     Commit,
@@ -32,6 +43,8 @@
     ListTypes,
     Note,
     Orders,
+    Part,
+    Propose,
     Read,
     Rent,
     Revoke,
@@ -52,6 +65,8 @@
 """The part of the sockets that users and workers may hold; the rest is for what we open."""
 NOT_NOW = (503, b"")
 
+Told = peer_wire.Counts | peer_wire.Part | peer_wire.Proposed
+
 log = logging.getLogger("crosscleat")
 
 
@@ -102,7 +117,7 @@
 
     async def run(self) -> None:
         most = self._settings.settings.resources.max_sockets
-        peers = PeerServer(set(self._links), self._answer_relay, self._health, self._counts)
+        peers = PeerServer(set(self._links), self._answer_relay, self._health, self._told)
         server = HttpServer(self._ask, self._check_in, self._ready, int(most * LISTEN_SHARE))
         await peers.start(self._settings.peer_bind)
         async with asyncio.TaskGroup() as group:
@@ -139,6 +154,10 @@
             case Tell():
                 for link in self._links.values():
                     link.send(peer_wire.Counts(effect.message))
+            case Part():
+                self._links[effect.member].send(peer_wire.Part(effect.view))
+            case Propose():
+                self._links[effect.member].send(peer_wire.Proposed(effect.proposal))
             case Revoke():
                 self._spawn(self._state.revoke(effect))
             case Direct():
@@ -224,8 +243,14 @@
     def _peer_gone(self, member: str) -> None:
         self._step(PeerGone(Member(member)))
 
-    def _counts(self, counts: peer_wire.Counts) -> None:
-        self._step(Progress(counts.jobs))
+    def _told(self, member: str, message: Told) -> None:
+        match message:
+            case peer_wire.Counts():
+                self._step(Progress(message.jobs))
+            case peer_wire.Part():
+                self._step(PartGiven(Member(member), message.view))
+            case peer_wire.Proposed():
+                self._step(Proposed(Member(member), message.proposal))
 
 
 async def _main(settings: Settings, knobs: Knobs) -> None:
--- a/src/crosscleat/core/controller.py
+++ b/src/crosscleat/core/controller.py
@@ -20,6 +20,7 @@
     ListTypes,
     News,
     Outbox,
+    Propose,
     Scan,
     Tell,
     Watch,
@@ -30,6 +31,7 @@
 from .jobs import LIVE
 from .leader import Leader
 from .model import Deployment, JobSpec, MachineType
+from .parting import Proposal, View, plan
 from .records import DROP, WORK
 from .reports import Report
 
@@ -90,13 +92,40 @@
     counts: dict[str, tuple[int, int]]
 
 
+class PartGiven(msgspec.Struct, frozen=True):
+    """A leader asks us to plan our part of a round."""
+
+    member: Member
+    view: View
+
+
+class Proposed(msgspec.Struct, frozen=True):
+    """An owner's choices for its part."""
+
+    member: Member
+    proposal: Proposal
+
+
 class PeerGone(msgspec.Struct, frozen=True):
     """A peer's link closed and its address refuses connections: its process may have ended."""
 
     member: Member
 
 
-Input = Tick | Began | Completed | Submit | Refuse | Poll | Abort | CheckIn | Progress | PeerGone
+Input = (
+    Tick
+    | Began
+    | Completed
+    | Submit
+    | Refuse
+    | Poll
+    | Abort
+    | CheckIn
+    | Progress
+    | PartGiven
+    | Proposed
+    | PeerGone
+)
 
 
 class Controller:
@@ -150,6 +179,12 @@
                 self.front.abort(request, ref)
             case Progress(counts):
                 self.front.progress.update(counts)
+            case PartGiven(member, view):
+                proposal = plan(view, self.deployment, self._types, self._rng, now)
+                self._out.add(Propose(member, proposal))
+            case Proposed(member, proposal):
+                if self.leader is not None:
+                    self.leader.proposed(member, proposal, now)
             case PeerGone(member):
                 self.election.unseat(member)
             case Tick():
--- a/src/crosscleat/core/effects.py
+++ b/src/crosscleat/core/effects.py
@@ -197,6 +197,20 @@
     message: Any
 
 
+class Part(msgspec.Struct, frozen=True):
+    """The owner's part of a round, for it to plan."""
+
+    member: str
+    view: Any
+
+
+class Propose(msgspec.Struct, frozen=True):
+    """Our choices for the part that a leader gave us."""
+
+    member: str
+    proposal: Any
+
+
 class Note(msgspec.Struct, frozen=True):
     """A line for the log."""
 
@@ -221,6 +235,8 @@
     | Orders
     | Later
     | Tell
+    | Part
+    | Propose
     | Note
 )
 
--- a/src/crosscleat/core/fleet.py
+++ b/src/crosscleat/core/fleet.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from .ids import LONG_AGO, Seconds, TypeName, Zone
+from .ids import LONG_AGO, Seconds, Team, TypeName, Zone
 from .jobs import Job
 from .model import JobSpec, Knobs, MachineType, Priority, TeamLimits
 from .placements import Machine
@@ -168,7 +168,7 @@
     def wanted(
         self,
         jobs: Iterable[Job],
-        teams: dict[str, TeamLimits],
+        teams: dict[Team, TeamLimits],
         team_cpus: dict[str, float],
         machines: Iterable[Machine],
         now: Seconds,
--- a/src/crosscleat/core/leader.py
+++ b/src/crosscleat/core/leader.py
@@ -28,6 +28,7 @@
     Order,
     Orders,
     Outbox,
+    Part,
     Put,
     Read,
     Remove,
@@ -41,6 +42,7 @@
     Attempt,
     JobRef,
     MachineId,
+    Member,
     Seconds,
     Session,
     TaskId,
@@ -52,6 +54,7 @@
 )
 from .jobs import STRETCH, Job, Placement, Stretch, ended_key, ended_record, live_key, spec_of
 from .model import Deployment, MachineType, Shape
+from .parting import Proposal, owner, parted, shares_of, view_of
 from .placements import NOWHERE, AttemptKey, Hold, Ledger, Machine
 from .records import DropRecord, DropRecords, WorkRecord, WorkRecords
 from .reports import ListedMachine, Report, TaskReport
@@ -80,6 +83,8 @@
 MOST_BYTES = 48 * 1024
 """64 KiB is the limit for a whole transaction: leave room for conditions and ends."""
 MOST_CHOICES = 48
+PART_S = 0.4
+"""How long an owner's part waits for its proposal."""
 SUSPECT_JOBS = 2
 TOMBSTONE_S = 900.0
 DROP_KEPT_S = 120.0
@@ -143,6 +148,11 @@
         self._list_at = now
         self._rotate_wanted = False
         self._rotated_at = now
+        self._part_number = 0
+        self._parts: dict[Member, Seconds] = {}
+        """Owners that plan their part just now, and until when we wait for them."""
+        self._punctual: set[Member] = set()
+        """Owners whose last proposal came in time: the others are not waited for."""
         self._progress_sent: dict[JobRef, tuple[int, int]] = {}
         self.budget: Budget | None = None
 
@@ -750,6 +760,7 @@
             self._full_round_at = Seconds(now + self.knobs.round_s)
             self._changed = True
             self._purge(now)
+            self._part_out(now)
         self._adjust_fleet(now)
         if not self._listing and now >= self._list_at:
             self._list_at = Seconds(now + LIST_S)
@@ -783,7 +794,7 @@
     def _round(self, now: Seconds) -> None:
         if not self.may_start(now) or not self.fleet.types:
             return
-        jobs = [j for j in self.jobs.values() if not j.aborted and not j.settling]
+        jobs = [job for job in self._plannable() if not self._elsewhere(job, now)]
         machines = [m for m in self.ledger.machines.values() if self.usable(m, now)]
         planned = Round(
             self.ledger,
@@ -799,6 +810,69 @@
         if len(planned) >= MOST_CHOICES:
             self._changed = True
 
+    def _plannable(self) -> Iterator[Job]:
+        return (job for job in self.jobs.values() if not job.aborted and not job.settling)
+
+    # Parting
+
+    def _part_out(self, now: Seconds) -> None:
+        """At a full round, give the other owners their part of what waits."""
+        if not self.may_start(now) or not self.fleet.types:
+            return
+        parts: dict[Member, list[Job]] = {}
+        for job in self._plannable():
+            if job.peek() is not None and parted(job):
+                parts.setdefault(owner(job.ref, self.deployment.members), []).append(job)
+        if not parts.keys() - {self.deployment.member}:
+            return
+        machines = [m for m in self.ledger.machines.values() if self.usable(m, now)]
+        shares = shares_of(parts, self.deployment.teams, self.ledger)
+        self._part_number += 1
+        self._parts.clear()
+        for member, jobs in parts.items():
+            if member == self.deployment.member:
+                continue
+            view = view_of(
+                self._part_number,
+                jobs,
+                machines,
+                self.ledger,
+                shares[member],
+                self.reserve(),
+                self.run_times.factors,
+                now,
+            )
+            self.out.add(Part(member, view))
+            self._parts[member] = Seconds(now + (PART_S if member in self._punctual else 0.0))
+            self._punctual.discard(member)
+
+    def _elsewhere(self, job: Job, now: Seconds) -> bool:
+        """Its owner is planning it; without a proposal in time it is ours again."""
+        if not self._parts or not parted(job):
+            return False
+        return self._parts.get(owner(job.ref, self.deployment.members), now) > now
+
+    def proposed(self, member: Member, proposal: Proposal, now: Seconds) -> None:
+        """Commit what still holds of an owner's choices; an outdated proposal is worth nothing."""
+        if proposal.number != self._part_number or member not in self._parts:
+            return
+        del self._parts[member]
+        self._punctual.add(member)
+        self._changed = True
+        if not self.may_start(now):
+            return
+        for ref, machine_id in proposal.choices:
+            job = self.jobs.get(ref)
+            machine = self.ledger.machines.get(machine_id)
+            if (
+                job is not None
+                and machine is not None
+                and not job.aborted
+                and not job.settling
+                and owner(ref, self.deployment.members) == member
+            ):
+                self._place(job, machine, now)
+
     def reserve(self) -> float:
         """Room that work below urgent leaves free for urgent work to come."""
         return 0.5 * self.fleet.demand.urgent_job()
--- a/src/crosscleat/core/model.py
+++ b/src/crosscleat/core/model.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from .ids import Image, JobRef, Team, TypeName, Zone
+from .ids import Image, JobRef, Member, Team, TypeName, Zone
 
 
 class Priority(enum.IntEnum):
@@ -119,8 +119,10 @@
 class Deployment:
     """The settings that decisions depend on."""
 
-    member: str
-    teams: dict[str, TeamLimits]
+    member: Member
+    members: tuple[Member, ...]
+    """All controllers, ours included, in the same order everywhere."""
+    teams: dict[Team, TeamLimits]
     objectives: tuple[Objective, ...]
     report_s: float
     lease_s: float
--- /dev/null
+++ b/src/crosscleat/core/parting.py
@@ -0,0 +1,189 @@
+"""The parting of work (DESIGN): owners plan full rounds for their part of the jobs and propose.
+
+Jobs are divided by hash. The leader gives each owner its waiting jobs, the room there is and a
+share of what each team may still use; the owner plans them by the same function as the leader
+and proposes; the leader checks each choice against what holds by then, and commits. Whatever has
+no proposal in time the leader plans itself.
+"""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Iterable
+from random import Random
+
+import msgspec
+
+from .ids import Image, JobRef, MachineId, Member, Seconds, Team, TypeName, Version, Zone
+from .jobs import Job
+from .model import Deployment, JobSpec, MachineType, Shape, TeamLimits
+from .placements import Ledger, Machine
+from .rounds import Choice, Round, troubled
+from .scoring import RunTimes, Scorer
+
+MOST_JOBS = 60
+MOST_CHOICES = 48
+
+
+class JobView(msgspec.Struct, array_like=True, frozen=True):
+    spec: JobSpec
+    age_s: float
+    waiting: int
+    failed_on: tuple[MachineId, ...]
+    zones: dict[Zone, int]
+
+
+class RoomView(msgspec.Struct, array_like=True, frozen=True):
+    machine: MachineId
+    type: TypeName
+    zone: Zone
+    spot: bool
+    used_cpus: float
+    used_gpus: float
+    used_memory: float
+    images: dict[Image, float]
+    """Those it has or fetches, with the seconds until they are there."""
+
+
+class View(msgspec.Struct, array_like=True, frozen=True):
+    """What an owner needs to plan its part."""
+
+    number: int
+    jobs: tuple[JobView, ...]
+    rooms: tuple[RoomView, ...]
+    shares: dict[Team, tuple[float, float]]
+    """CPUs and GPUs that the part may use of each team's limit; a team left out has none."""
+    reserve: float
+    factors: dict[str, float]
+    """By how much estimates are off, by class."""
+
+
+class Proposal(msgspec.Struct, array_like=True, frozen=True):
+    """An owner's choices for the part that it was given under this number."""
+
+    number: int
+    choices: tuple[tuple[JobRef, MachineId], ...]
+
+
+def owner(job: JobRef, members: tuple[Member, ...]) -> Member:
+    return members[zlib.crc32(job.encode()) % len(members)]
+
+
+def parted(job: Job) -> bool:
+    """What is tried with care, or whole or not at all, the leader plans itself."""
+    return job.spec.shape is not Shape.GANG and not troubled(job)
+
+
+def shares_of(
+    parts: dict[Member, list[Job]], limits: dict[Team, TeamLimits], ledger: Ledger
+) -> dict[Member, dict[Team, tuple[float, float]]]:
+    """What is left of each team's limit, divided by what waits in each part."""
+    asked: dict[Team, float] = {}
+    mine: dict[tuple[Member, Team], float] = {}
+    for member, jobs in parts.items():
+        for job in jobs:
+            cpus = job.waiting_count() * max(job.spec.cpus, 1e-3)
+            team = job.spec.team
+            asked[team] = asked.get(team, 0.0) + cpus
+            mine[member, team] = mine.get((member, team), 0.0) + cpus
+    shares: dict[Member, dict[Team, tuple[float, float]]] = {member: {} for member in parts}
+    for (member, team), cpus in mine.items():
+        limit = limits.get(team)
+        if limit is None:
+            continue
+        part = cpus / asked[team]
+        free = part * (limit.cpus_max - ledger.team_cpus.get(team, 0.0))
+        gpus = part * (limit.gpus_max - ledger.team_gpus.get(team, 0.0))
+        if limit.cpus_max <= 0 or free > 0:
+            # 0 would mean that there is no limit.
+            shares[member][team] = (
+                free if limit.cpus_max > 0 else 0.0,
+                max(gpus, 1e-9) if limit.gpus_max > 0 else 0.0,
+            )
+    return shares
+
+
+def view_of(
+    number: int,
+    jobs: Iterable[Job],
+    machines: Iterable[Machine],
+    ledger: Ledger,
+    shares: dict[Team, tuple[float, float]],
+    reserve: float,
+    factors: dict[str, float],
+    now: Seconds,
+) -> View:
+    found = sorted(jobs, key=lambda job: (-job.spec.priority, job.submitted))[:MOST_JOBS]
+    return View(
+        number,
+        tuple(
+            JobView(
+                job.spec,
+                now - job.submitted,
+                job.waiting_count(),
+                tuple(sorted(job.failed_on)),
+                ledger.job_zones.get(job.ref, {}),
+            )
+            for job in found
+        ),
+        tuple(
+            RoomView(
+                m.id,
+                m.type.name,
+                m.zone,
+                m.spot,
+                m.used_cpus,
+                m.used_gpus,
+                m.used_memory,
+                {Image(i): max(0.0, ready - now) for i, ready in m.images.items()},
+            )
+            for m in machines
+            if m.used_cpus < m.type.cpus
+        ),
+        shares,
+        reserve,
+        factors,
+    )
+
+
+def plan(
+    view: View,
+    deployment: Deployment,
+    types: dict[TypeName, MachineType],
+    rng: Random,
+    now: Seconds,
+) -> Proposal:
+    """The owner's side: the leader's own function, on what the leader has told."""
+    ledger = Ledger()
+    jobs = []
+    for given in view.jobs:
+        job = Job(given.spec, Version(0), Seconds(now - given.age_s))
+        job.fresh = max(0, given.spec.tasks - given.waiting)
+        job.succeeded = True
+        job.failed_on = set(given.failed_on)
+        ledger.job_zones[job.ref] = dict(given.zones)
+        jobs.append(job)
+    machines = []
+    for room in view.rooms:
+        if room.type in types:
+            machine = Machine(room.machine, types[room.type], room.zone, room.spot)
+            machine.used_cpus = room.used_cpus
+            machine.used_gpus = room.used_gpus
+            machine.used_memory = room.used_memory
+            machine.images = {i: Seconds(now + wait) for i, wait in room.images.items()}
+            machines.append(machine)
+    teams = {
+        team: TeamLimits(team, 0.0, cpus, 0.0, gpus) for team, (cpus, gpus) in view.shares.items()
+    }
+    run_times = RunTimes()
+    run_times.factors = dict(view.factors)
+    choices: list[Choice] = Round(
+        ledger,
+        Scorer(deployment, run_times),
+        teams,
+        rng,
+        now,
+        deployment.knobs.drop_threshold,
+        view.reserve,
+    ).plan(jobs, machines, MOST_CHOICES)
+    return Proposal(view.number, tuple((c.job, c.machine) for c in choices))
--- a/src/crosscleat/core/rounds.py
+++ b/src/crosscleat/core/rounds.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from .ids import JobRef, MachineId, Seconds, TypeName
+from .ids import JobRef, MachineId, Seconds, Team, TypeName
 from .jobs import Job
 from .model import MachineType, Priority, Shape, TeamLimits
 from .placements import Ledger, Machine
@@ -70,7 +70,7 @@
         self,
         ledger: Ledger,
         scorer: Scorer,
-        teams: dict[str, TeamLimits],
+        teams: dict[Team, TeamLimits],
         rng: Random,
         now: Seconds,
         drop_threshold: float,
--- a/src/crosscleat/core/scoring.py
+++ b/src/crosscleat/core/scoring.py
@@ -28,7 +28,7 @@
 
     def __init__(self) -> None:
         self._ratios: dict[str, deque[float]] = {}
-        self._factor: dict[str, float] = {}
+        self.factors: dict[str, float] = {}
 
     def learn(self, job: JobSpec, ran_s: float) -> None:
         if job.estimate_s <= 0 or ran_s <= 0:
@@ -36,10 +36,10 @@
         ratios = self._ratios.setdefault(job.job_class, deque(maxlen=64))
         ratios.append(ran_s / job.estimate_s)
         # Two pretended observations of 1.0 keep the first few from swinging it.
-        self._factor[job.job_class] = (sum(ratios) + 2.0) / (len(ratios) + 2)
+        self.factors[job.job_class] = (sum(ratios) + 2.0) / (len(ratios) + 2)
 
     def estimate(self, job: JobSpec) -> float:
-        return max(0.1, job.estimate_s * self._factor.get(job.job_class, 1.0))
+        return max(0.1, job.estimate_s * self.factors.get(job.job_class, 1.0))
 
 
 class Scorer:
--- a/src/crosscleat/settings.py
+++ b/src/crosscleat/settings.py
@@ -9,7 +9,7 @@
 import msgspec
 from msgspec import Meta
 
-from .core.ids import Team
+from .core.ids import Member, Team
 from .core.model import Deployment, Knobs, Objective, TeamLimits
 
 Positive = Annotated[float, Meta(gt=0.0, le=1e9)]
@@ -88,10 +88,12 @@
 
     def deployment(self, knobs: Knobs) -> Deployment:
         params = self.settings
+        members = {self.member, *(peer.member for peer in self.peers)}
         return Deployment(
-            member=self.member,
+            member=Member(self.member),
+            members=tuple(Member(member) for member in sorted(members)),
             teams={
-                t.name: TeamLimits(Team(t.name), t.cpus, t.cpus_max, t.gpus, t.gpus_max)
+                Team(t.name): TeamLimits(Team(t.name), t.cpus, t.cpus_max, t.gpus, t.gpus_max)
                 for t in params.teams
             },
             objectives=tuple(Objective(o.kind, o.job_class, o.within_s) for o in params.objectives),
--- a/src/crosscleat/wire/peers.py
+++ b/src/crosscleat/wire/peers.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from ..core.parting import Proposal, View
+
 MOST_FRAME = 1 << 20
 
 
@@ -40,7 +42,19 @@
     jobs: dict[str, tuple[int, int]]
 
 
-Message = Hello | Ping | Relay | Relayed | Counts
+class Part(msgspec.Struct, array_like=True, tag="part", frozen=True):
+    """The leader's request to plan a part of a round."""
+
+    view: View
+
+
+class Proposed(msgspec.Struct, array_like=True, tag="proposed", frozen=True):
+    """An owner's choices for its part."""
+
+    proposal: Proposal
+
+
+Message = Hello | Ping | Relay | Relayed | Counts | Part | Proposed
 
 _decoder = msgspec.msgpack.Decoder(Message)
 _encoder = msgspec.msgpack.Encoder()
--- /dev/null
+++ b/tests/term.py
@@ -0,0 +1,68 @@
+"""A leader by itself, whose clock and calls are in the test's hands."""
+
+from __future__ import annotations
+
+from random import Random
+
+from crosscleat.core.effects import Effect, Item, Outbox
+from crosscleat.core.election import Election
+from crosscleat.core.ids import (
+    MachineId,
+    Member,
+    Seconds,
+    Seen,
+    Session,
+    Token,
+    WallTime,
+    Zone,
+)
+from crosscleat.core.leader import Leader
+from crosscleat.core.reports import Report
+
+from .world import TYPES, deployment
+
+BEGAN = Seconds(50.0)
+TOKEN = 9
+
+
+class Term:
+    """A leader by itself, whose clock and calls are in the test's hands."""
+
+    def __init__(self, live: list[Item] | None = None, work: list[Item] | None = None) -> None:
+        self.out = Outbox()
+        self.now = BEGAN
+        self.lost: list[str] = []
+        election = Election(
+            Member("c0"), "boot", self.out, Random(1), lambda: self.now,
+            lambda _delay, _then: None, lambda _token: None, self.lost.append,
+        )  # fmt: skip
+        election.token = Token(TOKEN)
+        election.contact = BEGAN
+        types = {kind.name: kind for kind in TYPES}
+        self.leader = Leader(
+            deployment("c0"), election, self.out, Random(1), types, BEGAN, WallTime(0.0)
+        )
+        self.leader.load(live or [], work or [], [], BEGAN)
+
+    def step(self, seconds: float) -> None:
+        self.now = self.leader.now = Seconds(self.now + seconds)
+        self.leader.election.contact = self.leader.watched = self.now
+
+    def hear(
+        self, seen: tuple[int, int], token: int = TOKEN, relayed: bool = False
+    ) -> list[Effect]:
+        report = Report(
+            MachineId("m-0"), "m-0", TYPES[1].name, Zone("a"), True,
+            Seen(Session(seen[0]), seen[1]), token, None, (),
+        )  # fmt: skip
+        self.out.take()
+        self.leader.check_in(1, report, self.now, relayed)
+        return list(self.out.take())
+
+    @property
+    def usable(self) -> bool:
+        return self.leader.usable(self.leader.ledger.machines[MachineId("m-0")], self.now)
+
+    @property
+    def dropping(self) -> bool:
+        return self.leader.ledger.machines[MachineId("m-0")].dropping
--- a/tests/test_formats.py
+++ b/tests/test_formats.py
@@ -15,6 +15,7 @@
 from crosscleat.core.ids import JobRef, LeaseId, Session, TaskId, Token, Version, WallTime
 from crosscleat.core.jobs import live_record, spec_of
 from crosscleat.core.model import JobSpec
+from crosscleat.core.parting import Proposal
 from crosscleat.wire import cloud, peers, state, users, workers
 
 amounts = st.floats(0.0, 1e6, allow_nan=False)
@@ -190,6 +191,14 @@
             peers.Counts,
             st.dictionaries(refs, st.tuples(st.integers(0, 9), st.integers(0, 9)), max_size=3),
         ),
+        st.builds(
+            peers.Proposed,
+            st.builds(
+                Proposal,
+                st.integers(0, 9),
+                st.lists(st.tuples(refs, st.text()), max_size=3).map(tuple),
+            ),
+        ),
     )
 )
 def test_peer_messages_survive_the_wire(message: peers.Message) -> None:
@@ -205,5 +214,12 @@
     except msgspec.DecodeError:
         return
     assert isinstance(
-        message, peers.Hello | peers.Ping | peers.Relay | peers.Relayed | peers.Counts
+        message,
+        peers.Hello
+        | peers.Ping
+        | peers.Relay
+        | peers.Relayed
+        | peers.Counts
+        | peers.Part
+        | peers.Proposed,
     )
--- /dev/null
+++ b/tests/test_parting.py
@@ -0,0 +1,120 @@
+"""The parting of work: owners plan their part, the leader checks and commits."""
+
+from __future__ import annotations
+
+from random import Random
+
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+
+from crosscleat.core.effects import Item, Part
+from crosscleat.core.ids import JobRef, MachineId, Member, Seconds, Team, Version, WallTime, Zone
+from crosscleat.core.jobs import Job, live_key, live_record
+from crosscleat.core.parting import Proposal, View, owner, plan, shares_of, view_of
+from crosscleat.core.placements import Ledger, Machine
+
+from .term import Term
+from .world import MEMBERS, TEAMS, TYPES, deployment, job
+
+NOW = Seconds(100.0)
+OWNERS = tuple(Member(member) for member in MEMBERS)
+
+
+def live(ref: str, tasks: int = 1) -> Item:
+    spec = job(ref, tasks=tasks, cpus=1.0, memory_gb=1.0, team=Team("blue"))
+    return Item(live_key(spec.ref), live_record(spec, WallTime(0.0), aborted=False), Version(3))
+
+
+def refs_of(member: str, count: int) -> list[str]:
+    found = (f"job-{n}" for n in range(1000))
+    return [ref for ref in found if owner(JobRef(ref), OWNERS) == member][:count]
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(1, 9), st.sampled_from((0.5, 2.0)), st.sampled_from(("red", "blue"))),
+        min_size=1,
+        max_size=8,
+    ),
+    st.lists(st.floats(0.0, 8.0), min_size=1, max_size=6),
+    st.floats(0.0, 14.0),
+)
+def test_all_parts_together_keep_to_the_limits(
+    asked: list[tuple[int, float, str]], used: list[float], red: float
+) -> None:
+    ledger = Ledger()
+    ledger.team_cpus["red"] = red
+    jobs = [
+        Job(job(f"job-{n}", tasks=tasks, cpus=cpus, team=Team(team)), Version(1), NOW)
+        for n, (tasks, cpus, team) in enumerate(asked)
+    ]
+    machines = [Machine(MachineId(f"m-{n}"), TYPES[1], Zone("a"), True) for n in range(len(used))]
+    for machine, cpus_used in zip(machines, used, strict=True):
+        machine.used_cpus = cpus_used
+    parts: dict[Member, list[Job]] = {}
+    for one in jobs:
+        parts.setdefault(owner(one.ref, OWNERS), []).append(one)
+    shares = shares_of(parts, TEAMS, ledger)
+    taken = {"red": red, "blue": 0.0}
+    for member, mine in parts.items():
+        view = view_of(4, mine, machines, ledger, shares[member], 0.0, {}, NOW)
+        told = msgspec.msgpack.decode(msgspec.msgpack.encode(view), type=View)
+        proposal = plan(
+            told, deployment(member), {t.name: t for t in TYPES}, Random(1), Seconds(7.0)
+        )
+        assert proposal.number == 4
+        by_ref = {one.ref: one.spec for one in mine}
+        for machine in machines:
+            here = [by_ref[ref] for ref, name in proposal.choices if name == machine.id]
+            assert machine.used_cpus + sum(spec.cpus for spec in here) <= 8.0 + 1e-6
+        for ref, _ in proposal.choices:
+            taken[by_ref[ref].team] += by_ref[ref].cpus
+    for team, limits in TEAMS.items():
+        assert taken[team] <= max(limits.cpus_max, red if team == "red" else 0.0) + 1e-6
+
+
+def test_without_a_proposal_in_time_the_leader_plans_the_part_itself() -> None:
+    term = Term([live(ref) for ref in refs_of("c1", 2)])
+    leader = term.leader
+    term.hear((1, 1))
+    leader.tick(term.now)
+    (part,) = [effect for effect in term.out.take() if isinstance(effect, Part)]
+    assert part.member == "c1" and len(part.view.jobs) == 2
+    # It has not proposed before, so nobody waits for it.
+    leader.settle(term.now)
+    assert [one.placed_count() for one in leader.jobs.values()] == [1, 1]
+    # Once it has been in time it is waited for, though not for long.
+    leader.proposed(Member("c1"), Proposal(part.view.number, ()), term.now)
+    fresh, late = refs_of("c1", 4)[2:]
+    leader.live_news([live(fresh)], term.now)
+    term.step(5.1)
+    term.hear((1, 2))
+    leader.tick(term.now)
+    leader.settle(term.now)
+    assert leader.jobs[JobRef(fresh)].placed_count() == 0
+    term.step(0.5)
+    leader.live_news([live(late)], term.now)
+    leader.settle(term.now)
+    assert leader.jobs[JobRef(fresh)].placed_count() == 1
+    assert leader.jobs[JobRef(late)].placed_count() == 1
+
+
+def test_a_proposal_counts_as_far_as_it_still_holds() -> None:
+    mine, others = refs_of("c1", 2), refs_of("c2", 1)
+    term = Term([live(ref) for ref in (*mine, *others)])
+    leader = term.leader
+    term.hear((1, 1))
+    leader.tick(term.now)
+    number = next(e for e in term.out.take() if isinstance(e, Part)).view.number
+    here = MachineId("m-0")
+    outdated = Proposal(number - 1, ((JobRef(mine[0]), here),))
+    leader.proposed(Member("c1"), outdated, term.now)
+    assert leader.jobs[JobRef(mine[0])].placed_count() == 0
+    choices = ((JobRef(mine[0]), here), (JobRef(others[0]), here), (JobRef("job-gone"), here),
+               (JobRef(mine[1]), MachineId("m-gone")))  # fmt: skip
+    leader.proposed(Member("c1"), Proposal(number, choices), term.now)
+    placed = {ref: leader.jobs[JobRef(ref)].placed_count() for ref in (*mine, *others)}
+    assert placed == {mine[0]: 1, mine[1]: 0, others[0]: 0}, "others' jobs are not its to place"
+    leader.proposed(Member("c1"), Proposal(number, choices), term.now)
+    assert leader.jobs[JobRef(mine[0])].placed_count() == 1, "a repeat has no effect"
--- a/tests/world.py
+++ b/tests/world.py
@@ -22,9 +22,11 @@
     CheckIn,
     Completed,
     Controller,
+    PartGiven,
     PeerGone,
     Poll,
     Progress,
+    Proposed,
     Submit,
     Tick,
 )
@@ -71,8 +73,8 @@
     )
     for name, cpus in (("small", 4.0), ("large", 8.0))
 ]  # fmt: skip
-TEAMS = {"red": TeamLimits(Team("red"), 8.0, 14.0, 0.0, 0.0),
-         "blue": TeamLimits(Team("blue"), 8.0, 24.0, 0.0, 0.0)}  # fmt: skip
+TEAMS = {Team("red"): TeamLimits(Team("red"), 8.0, 14.0, 0.0, 0.0),
+         Team("blue"): TeamLimits(Team("blue"), 8.0, 24.0, 0.0, 0.0)}  # fmt: skip
 
 
 class RuleBroken(AssertionError):
@@ -92,7 +94,8 @@
 
 def deployment(member: str) -> Deployment:
     return Deployment(
-        member=member,
+        member=Member(member),
+        members=tuple(Member(m) for m in MEMBERS),
         teams=dict(TEAMS),
         objectives=(Objective("finished", "plain", 60.0),),
         report_s=REPORT_S,
@@ -538,11 +541,26 @@
             case fx.Later():
                 self.clock.after(effect.delay_s, lambda: back())
             case fx.Tell():
+                counts = Progress(effect.message)
                 for other in MEMBERS:
                     if other != member and self.network.whole(member, other):
-                        self.clock.after(0.01, lambda o=other: self.hear(o, effect.message))
+                        self.clock.after(0.01, lambda o=other: self.hear(o, counts))
             case fx.Note():
                 pass
+            case fx.Part():
+                other = effect.member
+                self.network.send(
+                    member, other, lambda: self.hear(other, PartGiven(Member(member), effect.view))
+                )
+            case fx.Propose():
+                other = effect.member
+                told = Proposed(Member(member), effect.proposal)
+
+                def propose() -> None:
+                    self.network.send(member, other, lambda: self.hear(other, told))
+
+                # An owner may be slow, and its proposal outdated when it comes.
+                self.clock.after(self.rng.choice((0.0, 0.0, 0.0, 0.3, 5.2)), propose)
             case fx.Revoke():
                 self.state(member, effect, lambda *_: None)
             case fx.Direct():
@@ -552,10 +570,10 @@
             case _:
                 self.state(member, effect, back)
 
-    def hear(self, member: str, counts: Any) -> None:
+    def hear(self, member: str, told: Any) -> None:
         process = self.processes[member]
         if process is not None:
-            self.feed(member, process, Progress(counts))
+            self.feed(member, process, told)
 
     # State service
 
