--- a/src/crosscleat/adapters/peer_link.py
+++ b/src/crosscleat/adapters/peer_link.py
@@ -166,7 +166,7 @@
         peers: set[str],
         check_in: Handler,
         health: Health,
-        tell: Callable[[str, wire.Counts | wire.Part | wire.Proposed], None],
+        tell: Callable[[str, wire.Told], None],
     ) -> None:
         self._health = health
         self._peers = peers
@@ -194,7 +194,7 @@
                     task = asyncio.create_task(self._answer(message, writer))
                     self._tasks.add(task)
                     task.add_done_callback(self._tasks.discard)
-                elif isinstance(message, wire.Counts | wire.Part | wire.Proposed):
+                elif isinstance(message, wire.Told):
                     self._tell(peer, message)
                 elif isinstance(message, wire.Ping):
                     self._health.heard(peer, message)
--- a/src/crosscleat/adapters/worker_client.py
+++ b/src/crosscleat/adapters/worker_client.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from ..core.effects import Direct
+from ..core.ids import Session, Token
 from ..core.reports import Report
 from ..wire import workers as wire
 
@@ -25,6 +26,20 @@
         self._session = session
         self._timeout = aiohttp.ClientTimeout(sock_connect=CONNECT_S)
 
+    async def probe(self, address: str, token: Token, session: Session) -> bytes | None:
+        """The worker's report, unread, by a direct message without orders."""
+        body = wire.direct(token, session, ())
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                async with self._session.post(
+                    f"http://{address}/do", data=body, timeout=self._timeout
+                ) as response:
+                    answer = await response.read()
+                    return answer if response.status in (200, 409) else None
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            log.debug("%s: no answer to a probe (%s)", address, error or type(error).__name__)
+            return None
+
     async def direct(self, call: Direct) -> tuple[Report | None, bool]:
         """The worker's report; and, without one, whether the orders may still be executed."""
         body = wire.direct(call.token, call.session, call.orders)
--- a/src/crosscleat/app.py
+++ b/src/crosscleat/app.py
@@ -27,6 +27,7 @@
     Input,
     PartGiven,
     PeerGone,
+    Probed,
     Progress,
     Proposed,
     Tick,
@@ -44,6 +45,7 @@
     Note,
     Orders,
     Part,
+    Probe,
     Propose,
     Read,
     Rent,
@@ -53,7 +55,7 @@
     Touch,
     Watch,
 )
-from .core.ids import Member
+from .core.ids import Member, Session, Token
 from .core.model import Knobs
 from .settings import Settings
 from .wire import peers as peer_wire
@@ -65,8 +67,6 @@
 """The part of the sockets that users and workers may hold; the rest is for what we open."""
 NOT_NOW = (503, b"")
 
-Told = peer_wire.Counts | peer_wire.Part | peer_wire.Proposed
-
 log = logging.getLogger("crosscleat")
 
 
@@ -154,6 +154,9 @@
             case Tell():
                 for link in self._links.values():
                     link.send(peer_wire.Counts(effect.message))
+            case Probe():
+                for link in self._links.values():
+                    link.send(peer_wire.Probe(effect.address, effect.token, effect.session))
             case Part():
                 self._links[effect.member].send(peer_wire.Part(effect.view))
             case Propose():
@@ -243,7 +246,7 @@
     def _peer_gone(self, member: str) -> None:
         self._step(PeerGone(Member(member)))
 
-    def _told(self, member: str, message: Told) -> None:
+    def _told(self, member: str, message: peer_wire.Told) -> None:
         match message:
             case peer_wire.Counts():
                 self._step(Progress(message.jobs))
@@ -251,6 +254,17 @@
                 self._step(PartGiven(Member(member), message.view))
             case peer_wire.Proposed():
                 self._step(Proposed(Member(member), message.proposal))
+            case peer_wire.Probe():
+                self._spawn(self._probe(member, message))
+            case peer_wire.Probed():
+                report = worker_wire.parse_check_in(message.body)
+                if report is not None:
+                    self._step(Probed(report))
+
+    async def _probe(self, member: str, asked: peer_wire.Probe) -> None:
+        body = await self._workers.probe(asked.address, Token(asked.token), Session(asked.session))
+        if body is not None:
+            self._links[member].send(peer_wire.Probed(body))
 
 
 async def _main(settings: Settings, knobs: Knobs) -> None:
--- a/src/crosscleat/core/controller.py
+++ b/src/crosscleat/core/controller.py
@@ -86,6 +86,12 @@
     relayed: bool = False
 
 
+class Probed(msgspec.Struct, frozen=True):
+    """A worker's report that another controller brought at our request."""
+
+    report: Report
+
+
 class Progress(msgspec.Struct, frozen=True):
     """The leader's counts of done and running tasks, for display."""
 
@@ -121,6 +127,7 @@
     | Poll
     | Abort
     | CheckIn
+    | Probed
     | Progress
     | PartGiven
     | Proposed
@@ -169,6 +176,9 @@
                     self.leader.check_in(request, report, now, relayed)
                 else:
                     self._out.add(Answer(request, 503, retry_after_s=1))
+            case Probed(report):
+                if self.leader is not None:
+                    self.leader.hear_directly(report)
             case Poll(request, ref):
                 self.front.poll(request, ref)
             case Submit(request, spec):
--- a/src/crosscleat/core/effects.py
+++ b/src/crosscleat/core/effects.py
@@ -167,6 +167,14 @@
     """The worker's report, or None; and whether the orders may still reach the worker."""
 
 
+class Probe(msgspec.Struct, frozen=True):
+    """Asks the other controllers to bring the report of a worker that we do not hear."""
+
+    address: str
+    token: Token
+    session: Session
+
+
 class Answer(msgspec.Struct, frozen=True):
     """The answer to one request from outside."""
 
@@ -231,6 +239,7 @@
     | Rent
     | DeleteMachines
     | Direct
+    | Probe
     | Answer
     | Orders
     | Later
--- a/src/crosscleat/core/leader.py
+++ b/src/crosscleat/core/leader.py
@@ -29,6 +29,7 @@
     Orders,
     Outbox,
     Part,
+    Probe,
     Put,
     Read,
     Remove,
@@ -78,6 +79,11 @@
 UNHEARD_S = 5.0
 """No machine at all was heard for so long: the fault is with us."""
 MOST_DIRECT_PAUSE_S = 48.0
+MOST_PROBES = 6
+PROBE_S = 1.5
+MUTED_S = 20.0
+MANY_SHARE = 0.25
+"""So many that fell silent did not all end: the network is at fault."""
 MOST_ORDERS = 300
 MOST_DROPS = 100
 MOST_BYTES = 48 * 1024
@@ -134,6 +140,8 @@
         """Another term has begun or none: late answers must not act for this one."""
         self._lazy_flush = now
         self._kick: set[MachineId] = set()
+        self._muted: list[Seconds] = []
+        """When machines that were given up for their silence were deleted."""
         self._unreached: set[MachineId] = set()
         """Machines that we could not reach since we last reached or directly heard any."""
         self._reached_at = now
@@ -295,7 +303,7 @@
         if not machine.known:
             self._greet(machine)
         orders = self._orders(machine, now, report.seen.tally)
-        machine.last_heard = now
+        machine.last_heard = machine.answered_at = now
         machine.last_answer = (
             now if machine.shown_token >= self.began_token else max(machine.last_answer, now)
         )
@@ -308,7 +316,7 @@
         And a session that ends although its reports were answered in time heard no answer.
         """
         # Well within a lease: a cut may have taken the last answer or two.
-        answered = machine.checked > 0 and now - machine.last_heard < 0.6 * self.deployment.lease_s
+        answered = now - machine.answered_at < 0.6 * self.deployment.lease_s
         if report.seen.session > machine.seen.session:
             if answered and machine.known:
                 self.drop(machine, "its lease ran out though we answered")
@@ -575,9 +583,11 @@
         """No orders: the answer brings the worker's report, and shows it our token."""
         if machine.direct_in_flight:
             return
+        self._direct(machine, self._session_of(machine), ())
+
+    def _session_of(self, machine: Machine) -> Session:
         placed = (hold.session for hold in machine.holds.values())
-        session = max(machine.seen.session, Session(1), *placed)
-        self._direct(machine, session, ())
+        return max(machine.seen.session, Session(1), *placed)
 
     def _direct(self, machine: Machine, session: Session, orders: tuple[Order, ...]) -> None:
         token = self.election.token
@@ -606,17 +616,36 @@
                 return
             machine.direct_misses = 0
             self._reached(self.now)
-            if report.machine != machine.id:
-                return
-            if report.token > (self.election.token or 0):
-                self.election.resign("a worker has seen a higher token")
-            elif report.seen > machine.seen and machine.id in self.ledger.machines:
-                self._describe(machine, report.type, report.zone, report.spot)
-                self._apply(machine, report, self.now, check_in=False)
-                machine.last_heard = self.now
+            if report.machine == machine.id:
+                self.hear_directly(report)
 
         return done
 
+    def hear_directly(self, report: Report) -> None:
+        """A report that answers a direct message, ours or another controller's."""
+        machine = self.ledger.machines.get(report.machine)
+        if report.token > (self.election.token or 0):
+            self.election.resign("a worker has seen a higher token")
+        elif machine is not None and report.seen > machine.seen:
+            self._describe(machine, report.type, report.zone, report.spot)
+            self._apply(machine, report, self.now, check_in=False)
+            machine.last_heard = self.now
+
+    def _probe(self, silent: Iterable[Machine], now: Seconds) -> None:
+        """Ask after machines that went silent: they may be between two controllers, or cut off
+        from us alone, and nothing but their silence speaks for their end."""
+        token = self.election.token
+        asked = 0
+        for machine in silent:
+            if asked >= MOST_PROBES or token is None:
+                return
+            if machine.address is None or now - machine.probed_at < PROBE_S:
+                continue
+            asked += 1
+            machine.probed_at = now
+            self._greet(machine)
+            self.out.add(Probe(machine.address, token, self._session_of(machine)))
+
     # Machines
 
     def _evacuate(self, machine: Machine, notice_s: float, now: Seconds) -> None:
@@ -660,6 +689,8 @@
                 continue
             for hold in list(machine.holds.values()):
                 self._gone(machine, hold, now, None)
+            if machine.mute:
+                self._muted.append(now)
             self.ledger.machines.pop(machine.id, None)
             self.tombstones[machine.id] = now
             self._drops_done.append((now, machine.id))
@@ -672,13 +703,20 @@
         # the rest look like fewer, and a leader that is cut off would give up one after another.
         heard = [now - m.last_heard for m in machines if m.up and (not m.dropping or m.mute)]
         quiet_s = 1.5 * d.report_s + 1.0
-        many = sum(1 for s in heard if s > quiet_s) > max(2, 0.4 * len(heard)) or (
+        # Those that are deleted by now count too, for a while.
+        self._muted = [at for at in self._muted if now - at < MUTED_S]
+        quiet = sum(1 for s in heard if s > quiet_s) + len(self._muted)
+        many = quiet > max(2, MANY_SHARE * (len(heard) + len(self._muted))) or (
             len(heard) > 1 and min(heard) > quiet_s
         )
         if (len(heard) > 1 and min(heard) > UNHEARD_S) or self._cut_off(machines, now):
             # They live or die by who answers them: let one lead whom they can reach.
             self.election.resign("no worker reaches us", rest_s=10.0)
             return
+        self._probe(
+            (m for m in machines if m.up and not m.dropping and now - m.last_heard > quiet_s),
+            now,
+        )
         for machine in machines:
             self._lease_run_out(machine, now)
             busy = bool(machine.holds or machine.exited or machine.strays)
--- a/src/crosscleat/core/placements.py
+++ b/src/crosscleat/core/placements.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 from .ids import (
@@ -30,6 +31,7 @@
 
 AttemptKey = tuple[TaskId, Attempt]
 
+NEVER_ANSWERED = Seconds(-math.inf)
 NOWHERE = Zone("")
 """The zone of a machine that only a record has named so far."""
 
@@ -75,6 +77,8 @@
     """A direct start sent with this token or a lower one may still be executed."""
     direct_in_flight: bool = False
     last_heard: Seconds = LONG_AGO
+    answered_at: Seconds = NEVER_ANSWERED
+    """When we last answered a check-in of it."""
     last_answer: Seconds = LONG_AGO
     """When anyone could last have renewed the worker's lease."""
     recall_at: Seconds | None = None
@@ -103,6 +107,7 @@
     """Rented or heard of for certain in this term: what speaks for it is no old report."""
     deaf_since: Seconds | None = None
     """Its reports show that it does not take up what our answers say."""
+    probed_at: Seconds = LONG_AGO
     direct_misses: int = 0
     direct_after: Seconds = LONG_AGO
     """A direct message failed: until then it hears of orders by its check-ins alone."""
--- a/src/crosscleat/wire/peers.py
+++ b/src/crosscleat/wire/peers.py
@@ -54,7 +54,24 @@
     proposal: Proposal
 
 
-Message = Hello | Ping | Relay | Relayed | Counts | Part | Proposed
+class Probe(msgspec.Struct, array_like=True, tag="probe", frozen=True):
+    """Asks for the report of a worker that the sender does not hear."""
+
+    address: str
+    token: int
+    session: int
+
+
+class Probed(msgspec.Struct, array_like=True, tag="probed", frozen=True):
+    """The worker's report, as its body came in."""
+
+    body: bytes
+
+
+Message = Hello | Ping | Relay | Relayed | Counts | Part | Proposed | Probe | Probed
+
+Told = Counts | Part | Proposed | Probe | Probed
+"""What needs no answer on the same link."""
 
 _decoder = msgspec.msgpack.Decoder(Message)
 _encoder = msgspec.msgpack.Encoder()
--- a/tests/test_formats.py
+++ b/tests/test_formats.py
@@ -185,6 +185,8 @@
     st.one_of(
         st.builds(peers.Hello, st.text()),
         st.builds(peers.Ping, st.booleans()),
+        st.builds(peers.Probe, st.text(), st.integers(0, 2**60), st.integers(0, 2**60)),
+        st.builds(peers.Probed, st.binary(max_size=50)),
         st.builds(peers.Relay, st.integers(0, 2**60), st.binary(max_size=50)),
         st.builds(peers.Relayed, st.integers(0, 2**60), st.integers(100, 599), st.binary()),
         st.builds(
@@ -221,5 +223,7 @@
         | peers.Relayed
         | peers.Counts
         | peers.Part
-        | peers.Proposed,
+        | peers.Proposed
+        | peers.Probe
+        | peers.Probed,
     )
--- a/tests/test_unheard.py
+++ b/tests/test_unheard.py
@@ -145,3 +145,21 @@
         busy.poll(f"job-{number}")
     busy.clock.advance(1.0)
     assert set(busy.told_final) >= {f"job-{number}" for number in range(4)}
+
+
+def test_a_machine_that_looks_for_a_controller_is_asked_after_before_it_is_given_up(
+    busy: World,
+) -> None:
+    leader = next(m for m, p in busy.processes.items() if p and p.controller.leader)
+    name = hosts(busy)[0]
+    worker = busy.workers[name]
+    # It waits for answers of two controllers in turn: longer than silence is borne with, but not
+    # yet longer than its lease.
+    reachable = next(m for m in MEMBERS if m != leader)
+    worker.node = MEMBERS.index(reachable) + 1
+    for member in MEMBERS:
+        if member != reachable:
+            busy.network.cut(name, member, "hold")
+    held = set(worker.tasks)
+    busy.clock.advance(8.0)
+    assert not worker.gone and held <= set(worker.tasks)
--- a/tests/world.py
+++ b/tests/world.py
@@ -25,6 +25,7 @@
     PartGiven,
     PeerGone,
     Poll,
+    Probed,
     Progress,
     Proposed,
     Submit,
@@ -547,6 +548,12 @@
                         self.clock.after(0.01, lambda o=other: self.hear(o, counts))
             case fx.Note():
                 pass
+            case fx.Probe():
+                for other in MEMBERS:
+                    if other != member:
+                        self.network.send(
+                            member, other, lambda o=other: self.probe(member, o, effect)
+                        )
             case fx.Part():
                 other = effect.member
                 self.network.send(
@@ -570,6 +577,17 @@
             case _:
                 self.state(member, effect, back)
 
+    def probe(self, member: str, other: str, asked: fx.Probe) -> None:
+        if self.processes[other] is None:
+            return
+
+        def found(report: Report | None, _perhaps: bool) -> None:
+            if report is not None:
+                self.network.send(other, member, lambda: self.hear(member, Probed(report)))
+
+        call = fx.Direct(asked.address, asked.token, asked.session, (), void)
+        self.direct(other, call, found)
+
     def hear(self, member: str, told: Any) -> None:
         process = self.processes[member]
         if process is not None:
