--- a/src/crosscleat/core/leader.py
+++ b/src/crosscleat/core/leader.py
@@ -832,9 +832,18 @@
     def _round(self, now: Seconds) -> None:
         if not self.may_start(now) or not self.fleet.types:
             return
-        jobs = [job for job in self._plannable() if not self._elsewhere(job, now)]
+        jobs = list(self._plannable())
         machines = [m for m in self.ledger.machines.values() if self.usable(m, now)]
-        planned = Round(
+        mine = [job for job in jobs if not self._elsewhere(job, now)]
+        kept = None if len(mine) == len(jobs) else self._new_round(now).kept(jobs, machines)
+        planned = self._new_round(now).plan(mine, machines, MOST_CHOICES, kept)
+        for choice in planned:
+            self._place(self.jobs[choice.job], self.ledger.machines[choice.machine], now)
+        if len(planned) >= MOST_CHOICES:
+            self._changed = True
+
+    def _new_round(self, now: Seconds) -> Round:
+        return Round(
             self.ledger,
             self.scorer,
             self.deployment.teams,
@@ -842,11 +851,7 @@
             now,
             self.knobs.drop_threshold,
             self.reserve(),
-        ).plan(jobs, machines, MOST_CHOICES)
-        for choice in planned:
-            self._place(self.jobs[choice.job], self.ledger.machines[choice.machine], now)
-        if len(planned) >= MOST_CHOICES:
-            self._changed = True
+        )
 
     def _plannable(self) -> Iterator[Job]:
         return (job for job in self.jobs.values() if not job.aborted and not job.settling)
@@ -864,6 +869,7 @@
         if not parts.keys() - {self.deployment.member}:
             return
         machines = [m for m in self.ledger.machines.values() if self.usable(m, now)]
+        kept = self._new_round(now).kept(self._plannable(), machines)
         shares = shares_of(parts, self.deployment.teams, self.ledger)
         self._part_number += 1
         self._parts.clear()
@@ -875,6 +881,7 @@
                 jobs,
                 machines,
                 self.ledger,
+                kept,
                 shares[member],
                 self.reserve(),
                 self.run_times.factors,
--- a/src/crosscleat/core/parting.py
+++ b/src/crosscleat/core/parting.py
@@ -16,9 +16,9 @@
 
 from .ids import Image, JobRef, MachineId, Member, Seconds, Team, TypeName, Version, Zone
 from .jobs import Job
-from .model import Deployment, JobSpec, MachineType, Shape, TeamLimits
+from .model import Deployment, JobSpec, MachineType, Priority, Shape, TeamLimits
 from .placements import Ledger, Machine
-from .rounds import Choice, Round, troubled
+from .rounds import Choice, Kept, Round, troubled
 from .scoring import RunTimes, Scorer
 
 MOST_JOBS = 60
@@ -43,6 +43,8 @@
     used_memory: float
     images: dict[Image, float]
     """Those it has or fetches, with the seconds until they are there."""
+    kept: tuple[JobRef, Priority, float] | None
+    """Whose large tasks it is emptied for: the job, its priority and its age."""
 
 
 class View(msgspec.Struct, array_like=True, frozen=True):
@@ -108,6 +110,7 @@
     jobs: Iterable[Job],
     machines: Iterable[Machine],
     ledger: Ledger,
+    kept: dict[MachineId, Kept],
     shares: dict[Team, tuple[float, float]],
     reserve: float,
     factors: dict[str, float],
@@ -136,6 +139,7 @@
                 m.used_gpus,
                 m.used_memory,
                 {Image(i): max(0.0, ready - now) for i, ready in m.images.items()},
+                _kept_view(kept.get(m.id), now),
             )
             for m in machines
             if m.used_cpus < m.type.cpus
@@ -146,6 +150,10 @@
     )
 
 
+def _kept_view(kept: Kept | None, now: Seconds) -> tuple[JobRef, Priority, float] | None:
+    return None if kept is None else (kept.job, kept.priority, now - kept.submitted)
+
+
 def plan(
     view: View,
     deployment: Deployment,
@@ -164,6 +172,7 @@
         ledger.job_zones[job.ref] = dict(given.zones)
         jobs.append(job)
     machines = []
+    kept = {}
     for room in view.rooms:
         if room.type in types:
             machine = Machine(room.machine, types[room.type], room.zone, room.spot)
@@ -172,6 +181,9 @@
             machine.used_memory = room.used_memory
             machine.images = {i: Seconds(now + wait) for i, wait in room.images.items()}
             machines.append(machine)
+            if room.kept is not None:
+                job_ref, priority, age_s = room.kept
+                kept[machine.id] = Kept(job_ref, priority, Seconds(now - age_s))
     teams = {
         team: TeamLimits(team, 0.0, cpus, 0.0, gpus) for team, (cpus, gpus) in view.shares.items()
     }
@@ -185,5 +197,5 @@
         now,
         deployment.knobs.drop_threshold,
         view.reserve,
-    ).plan(jobs, machines, MOST_CHOICES)
+    ).plan(jobs, machines, MOST_CHOICES, kept)
     return Proposal(view.number, tuple((c.job, c.machine) for c in choices))
--- a/src/crosscleat/core/rounds.py
+++ b/src/crosscleat/core/rounds.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from random import Random
+from typing import NamedTuple
 
 import msgspec
 
@@ -39,6 +40,14 @@
     machine: MachineId
 
 
+class Kept(NamedTuple):
+    """The job for whose large tasks a machine is being emptied."""
+
+    job: JobRef
+    priority: Priority
+    submitted: Seconds
+
+
 @dataclass(slots=True)
 class Room:
     """What a machine still has in this round."""
@@ -48,8 +57,7 @@
     gpus: float
     memory: float
     fetching_s: float
-    kept: Job | None = None
-    """The job whose large tasks it is being emptied for."""
+    kept: Kept | None = None
 
     def fits(self, job: Job) -> bool:
         spec = job.spec
@@ -94,31 +102,30 @@
         self._sample = 0
         self._free = 0.0
 
-    def plan(self, jobs: Iterable[Job], machines: Iterable[Machine], most: int) -> list[Choice]:
-        """At most `most` choices, best pair first."""
-        now = self._now
+    def plan(
+        self,
+        jobs: Iterable[Job],
+        machines: Iterable[Machine],
+        most: int,
+        kept: dict[MachineId, Kept] | None = None,
+    ) -> list[Choice]:
+        """At most `most` choices, best pair first.
+
+        `kept` is given where `jobs` is only a part of what waits.
+        """
         waiting = [job for job in jobs if job.peek() is not None]
         if not waiting:
             return []
-        for machine in machines:
-            kind = machine.type
-            waiting_s = max(
-                (ready - now for ready in machine.images.values() if ready > now), default=0.0
-            )
-            room = Room(
-                machine,
-                kind.cpus - machine.used_cpus,
-                kind.gpus - machine.used_gpus,
-                kind.memory_gb - machine.used_memory,
-                waiting_s,
-            )
-            self._free += max(0.0, room.cpus)
-            self._rooms.append(room)
+        self._enter(machines)
         if not self._rooms:
             return []
         self._sample = max(LEAST_SAMPLE, MOST_PAIRS // len(waiting))
         self._scorer.max_cost = self._max_cost(waiting)
-        self._keep(waiting)
+        if kept is None:
+            self._keep(waiting)
+        else:
+            for room in self._rooms:
+                room.kept = kept.get(room.machine.id)
         aside = []
         heap: list[tuple[float, float, int, Job, Room]] = []
         order = 0
@@ -137,6 +144,29 @@
         self._commit(heap, choices, most)
         return choices
 
+    def kept(self, jobs: Iterable[Job], machines: Iterable[Machine]) -> dict[MachineId, Kept]:
+        """The machines that are emptied for large tasks, and for whose."""
+        self._enter(machines)
+        self._keep([job for job in jobs if job.peek() is not None])
+        return {room.machine.id: room.kept for room in self._rooms if room.kept is not None}
+
+    def _enter(self, machines: Iterable[Machine]) -> None:
+        now = self._now
+        for machine in machines:
+            kind = machine.type
+            waiting_s = max(
+                (ready - now for ready in machine.images.values() if ready > now), default=0.0
+            )
+            room = Room(
+                machine,
+                kind.cpus - machine.used_cpus,
+                kind.gpus - machine.used_gpus,
+                kind.memory_gb - machine.used_memory,
+                waiting_s,
+            )
+            self._free += max(0.0, room.cpus)
+            self._rooms.append(room)
+
     def _keep(self, waiting: list[Job]) -> None:
         """Empty a few machines for large tasks that have waited, and let them have those.
 
@@ -153,13 +183,11 @@
             most = max(1, int(KEPT_SHARE * len(able))) - (len(able) - len(free))
             free.sort(key=lambda r: (-r.cpus, -r.memory))
             for room in free[: max(0, min(most, job.waiting_count()))]:
-                room.kept = job
+                room.kept = Kept(job.ref, job.spec.priority, job.submitted)
 
-    def _precedes(self, job: Job, kept: Job) -> bool:
+    def _precedes(self, job: Job, kept: Kept) -> bool:
         """Work of a higher priority may use what is kept, until that has waited for very long."""
-        return (
-            job.spec.priority > kept.spec.priority and self._now - kept.submitted < KEPT_FROM_ALL_S
-        )
+        return job.spec.priority > kept.priority and self._now - kept.submitted < KEPT_FROM_ALL_S
 
     def _large_on(self, job: Job, room: Room) -> bool:
         machine = room.machine
@@ -251,7 +279,8 @@
     def _may(self, job: Job, room: Room) -> bool:
         if not room.fits(job) or not room.machine.allowed(job.spec):
             return False
-        if room.kept is not None and room.kept is not job and not self._precedes(job, room.kept):
+        kept = room.kept
+        if kept is not None and kept.job != job.ref and not self._precedes(job, kept):
             return False
         if job.spec.priority < Priority.HIGH and self._free - job.spec.cpus < self._reserve:
             return False
--- a/tests/test_parting.py
+++ b/tests/test_parting.py
@@ -11,8 +11,10 @@
 from crosscleat.core.effects import Item, Part
 from crosscleat.core.ids import JobRef, MachineId, Member, Seconds, Team, Version, WallTime, Zone
 from crosscleat.core.jobs import Job, live_key, live_record
+from crosscleat.core.model import Priority
 from crosscleat.core.parting import Proposal, View, owner, plan, shares_of, view_of
 from crosscleat.core.placements import Ledger, Machine
+from crosscleat.core.rounds import Kept
 
 from .term import Term
 from .world import MEMBERS, TEAMS, TYPES, deployment, job
@@ -58,7 +60,7 @@
     shares = shares_of(parts, TEAMS, ledger)
     taken = {"red": red, "blue": 0.0}
     for member, mine in parts.items():
-        view = view_of(4, mine, machines, ledger, shares[member], 0.0, {}, NOW)
+        view = view_of(4, mine, machines, ledger, {}, shares[member], 0.0, {}, NOW)
         told = msgspec.msgpack.decode(msgspec.msgpack.encode(view), type=View)
         proposal = plan(
             told, deployment(member), {t.name: t for t in TYPES}, Random(1), Seconds(7.0)
@@ -118,3 +120,15 @@
     assert placed == {mine[0]: 1, mine[1]: 0, others[0]: 0}, "others' jobs are not its to place"
     leader.proposed(Member("c1"), Proposal(number, choices), term.now)
     assert leader.jobs[JobRef(mine[0])].placed_count() == 1, "a repeat has no effect"
+
+
+def test_an_owner_leaves_alone_what_is_kept_for_others_large_tasks() -> None:
+    machine = Machine(MachineId("m-0"), TYPES[1], Zone("a"), True)
+    machine.used_cpus = 4.0
+    small = Job(job("job-1", tasks=1, cpus=1.0), Version(1), NOW)
+    shares = {Team("red"): (10.0, 0.0)}
+    large = Kept(JobRef("job-large"), Priority.NORMAL, Seconds(NOW - 20.0))
+    for kept, count in (({}, 1), ({machine.id: large}, 0)):
+        view = view_of(1, [small], [machine], Ledger(), kept, shares, 0.0, {}, NOW)
+        types = {t.name: t for t in TYPES}
+        assert len(plan(view, deployment("c1"), types, Random(1), NOW).choices) == count
