--- a/src/crosscleat/core/jobs.py
+++ b/src/crosscleat/core/jobs.py
@@ -110,6 +110,11 @@
             stretch = self.stretches[number] = Stretch(number)
         return stretch
 
+    @property
+    def begun(self) -> bool:
+        """Whether any task of it is, or was, on a machine."""
+        return self.fresh > 0
+
     def waiting_count(self) -> int:
         return self.spec.tasks - self.fresh + len(self.again)
 
--- a/src/crosscleat/core/leader.py
+++ b/src/crosscleat/core/leader.py
@@ -79,6 +79,7 @@
 UNHEARD_S = 5.0
 """No machine at all was heard for so long: the fault is with us."""
 MOST_DIRECT_PAUSE_S = 48.0
+UNBROKEN_LEASES = 0.6
 MOST_PROBES = 6
 PROBE_S = 1.5
 MUTED_S = 20.0
@@ -303,6 +304,9 @@
         if not machine.known:
             self._greet(machine)
         orders = self._orders(machine, now, report.seen.tally)
+        if now - machine.answered_at > UNBROKEN_LEASES * self.deployment.lease_s:
+            # Reports held up in a cut come all at once, long after their workers gave them up.
+            machine.answered_from = now
         machine.last_heard = machine.answered_at = now
         machine.last_answer = (
             now if machine.shown_token >= self.began_token else max(machine.last_answer, now)
@@ -315,8 +319,9 @@
         A start in an answer is in the next report of the session, or the answer did not arrive.
         And a session that ends although its reports were answered in time heard no answer.
         """
-        # Well within a lease: a cut may have taken the last answer or two.
-        answered = now - machine.answered_at < 0.6 * self.deployment.lease_s
+        # For a while, and until well within a lease: a cut may have taken the last answers.
+        most_s = UNBROKEN_LEASES * self.deployment.lease_s
+        answered = now - machine.answered_at < most_s < now - machine.answered_from
         if report.seen.session > machine.seen.session:
             if answered and machine.known:
                 self.drop(machine, "its lease ran out though we answered")
--- a/src/crosscleat/core/placements.py
+++ b/src/crosscleat/core/placements.py
@@ -79,6 +79,8 @@
     last_heard: Seconds = LONG_AGO
     answered_at: Seconds = NEVER_ANSWERED
     """When we last answered a check-in of it."""
+    answered_from: Seconds = LONG_AGO
+    """Since when we have answered them with no long pause."""
     last_answer: Seconds = LONG_AGO
     """When anyone could last have renewed the worker's lease."""
     recall_at: Seconds | None = None
--- a/src/crosscleat/core/rounds.py
+++ b/src/crosscleat/core/rounds.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -30,6 +31,8 @@
 KEPT_AFTER_S = 5.0
 KEPT_FROM_ALL_S = 60.0
 KEPT_SHARE = 0.3
+BEGIN_S = 100.0
+"""A job that has waited so long begins next, whatever else there is to do."""
 QUOTA_SHARE = 0.05
 TROUBLED_MACHINES = 2
 """A job that failed on so many machines and succeeded on none is tried one task at a time."""
@@ -238,8 +241,16 @@
         found = self._best(job)
         if found is not None:
             age = self._now - job.submitted
+            if self._must_begin(job):
+                heapq.heappush(heap, (-math.inf, -age, order, job, found[1]))
+                return
             heapq.heappush(heap, (found[0], -age, order, job, found[1]))
 
+    def _must_begin(self, job: Job) -> bool:
+        """Its first task goes before all others: late work is worth little, and among ever new
+        work that is worth more it would never begin."""
+        return self._now - job.submitted > BEGIN_S and not job.begun and job.ref not in self._taken
+
     def _best(self, job: Job) -> tuple[float, Room] | None:
         """The machine of the highest score for the job's next task; the score is negated.
 
@@ -282,7 +293,11 @@
         kept = room.kept
         if kept is not None and kept.job != job.ref and not self._precedes(job, kept):
             return False
-        if job.spec.priority < Priority.HIGH and self._free - job.spec.cpus < self._reserve:
+        if (
+            job.spec.priority < Priority.HIGH
+            and self._free - job.spec.cpus < self._reserve
+            and not self._must_begin(job)
+        ):
             return False
         if room.machine.id in job.failed_on and not self._all_failed(job):
             return False
@@ -318,7 +333,8 @@
         cpus = used + job.spec.cpus
         gpus = self._gpus.get(job.spec.team, 0.0) + job.spec.gpus
         most = limits.cpus_max
-        if job.spec.priority < Priority.HIGH and used > 0.5 * most > 0.0:
+        saved = job.spec.priority < Priority.HIGH and not self._must_begin(job)
+        if saved and used > 0.5 * most > 0.0:
             # A limit is room like any other: the last of it is for urgent work.
             most -= min(2.0 * self._reserve, QUOTA_SHARE * most)
         return within(cpus, most) and within(gpus, limits.gpus_max)
--- a/tests/test_rounds.py
+++ b/tests/test_rounds.py
@@ -184,3 +184,14 @@
         assert len(plan([many], fleet, reserve=1.0)) == most, "red may use 14 CPUs"
     alone = waiting("job-1", tasks=1, cpus=8.0, team=Team("red"))
     assert len(plan([alone], fleet, reserve=20.0)) == 1, "but none is kept from starting at all"
+
+
+def test_late_work_begins_among_ever_new_work_that_is_worth_more() -> None:
+    old = waiting("job-old", tasks=3, cpus=2.0, priority=Priority.LOW, team=Team("blue"))
+    old.submitted = Seconds(NOW - 101.0)
+    new = waiting("job-new", tasks=3, cpus=2.0, priority=Priority.HIGH, team=Team("blue"))
+    fleet = [machine("m-0")]
+    fleet[0].used_cpus = 4.0
+    assert [c.job for c in plan([new, old], fleet)] == ["job-old", "job-new"], "one task of it"
+    old.place(MachineId("m-9"), Session(1))
+    assert [c.job for c in plan([new, old], fleet)] == ["job-new", "job-new"], "it has begun"
--- a/tests/test_unheard.py
+++ b/tests/test_unheard.py
@@ -73,6 +73,18 @@
     assert not term.dropping
 
 
+def test_reports_held_up_in_a_cut_are_no_sign_of_deafness() -> None:
+    term = Term()
+    for tally in range(1, 6):
+        term.hear((1, tally))
+        term.step(2.0)
+    term.step(LEASE_S + 1.0)
+    # All at once, when the cut ends: we answer the old ones too, but nobody waits for that.
+    for seen in ((1, 6), (1, 7), (2, 8)):
+        term.hear(seen)
+    assert not term.dropping
+
+
 @pytest.mark.parametrize("session", [1, 4])
 def test_a_machine_that_counts_its_sessions_anew_is_returned(session: int) -> None:
     live, work = held(session=4)
