--- a/src/crosscleat/core/leader.py
+++ b/src/crosscleat/core/leader.py
@@ -71,6 +71,8 @@
 LAZY_WRITES = 4
 ENDS_WRITES = 6
 LIST_S = 10.0
+SOON_LIST_S = 3.0
+LISTED_BY_S = 60.0
 SLOW_START_S = 2.0
 ROTATE_S = 3.0
 LIST_WAIT_S = 2.0
@@ -83,7 +85,7 @@
 MOST_PROBES = 6
 PROBE_S = 1.5
 MUTED_S = 20.0
-MANY_SHARE = 0.25
+MANY_SHARE = 0.1
 """So many that fell silent did not all end: the network is at fault."""
 MOST_ORDERS = 300
 MOST_DROPS = 100
@@ -155,6 +157,8 @@
         self._rent_at = now
         self._listing = False
         self._list_at = now
+        self._listed_at = now
+        self._many_quiet = False
         self._rotate_wanted = False
         self._rotated_at = now
         self._part_number = 0
@@ -707,11 +711,11 @@
         # Those given up for their silence still count: else each that is given up would make
         # the rest look like fewer, and a leader that is cut off would give up one after another.
         heard = [now - m.last_heard for m in machines if m.up and (not m.dropping or m.mute)]
-        quiet_s = 1.5 * d.report_s + 1.0
+        quiet_s = self._quiet_s()
         # Those that are deleted by now count too, for a while.
         self._muted = [at for at in self._muted if now - at < MUTED_S]
         quiet = sum(1 for s in heard if s > quiet_s) + len(self._muted)
-        many = quiet > max(2, MANY_SHARE * (len(heard) + len(self._muted))) or (
+        self._many_quiet = many = quiet > max(2, MANY_SHARE * (len(heard) + len(self._muted))) or (
             len(heard) > 1 and min(heard) > quiet_s
         )
         if (len(heard) > 1 and min(heard) > UNHEARD_S) or self._cut_off(machines, now):
@@ -769,6 +773,7 @@
         if machines is None or self.retired:
             return
         now = self.now
+        self._miss({entry.id for entry in machines}, now)
         for entry in machines:
             if entry.id in self.tombstones:
                 continue
@@ -777,6 +782,7 @@
                 machine = Machine(entry.id, UNKNOWN_TYPE, entry.zone, entry.spot)
                 self._enter(machine, now)
             self._describe(machine, entry.type, entry.zone, entry.spot)
+            machine.listed = True
             machine.address = machine.address or entry.address
             machine.born = min(machine.born, Seconds(now - entry.age_s))
             if not machine.up and entry.state == "running":
@@ -785,6 +791,22 @@
             if entry.state == "failed":
                 self.drop(machine, "failed")
 
+    def _miss(self, named: set[MachineId], now: Seconds) -> None:
+        """What was listed stays listed until it is gone; a list may only be older than another."""
+        quiet_s = self._quiet_s()
+        for machine in self.ledger.machines.values():
+            if (
+                machine.listed
+                and machine.id not in named
+                and now - machine.born > LISTED_BY_S
+                and now - machine.last_heard > quiet_s
+            ):
+                self.drop(machine, "no longer listed")
+
+    def _quiet_s(self) -> float:
+        """A machine that was not heard for so long has missed a report."""
+        return 1.5 * self.deployment.report_s + 1.0
+
     def types_changed(self) -> None:
         """Prices moved: machines refer to their type as it was described last."""
         for machine in self.ledger.machines.values():
@@ -805,7 +827,10 @@
             self._purge(now)
             self._part_out(now)
         self._adjust_fleet(now)
+        if self._muted or self._many_quiet:
+            self._list_at = min(self._list_at, Seconds(self._listed_at + SOON_LIST_S))
         if not self._listing and now >= self._list_at:
+            self._listed_at = now
             self._list_at = Seconds(now + LIST_S)
             self._listing = True
             self.out.add(ListMachines(self.listed))
--- a/src/crosscleat/core/placements.py
+++ b/src/crosscleat/core/placements.py
@@ -69,6 +69,8 @@
     address: str | None = None
     born: Seconds = LONG_AGO
     up: bool = False
+    listed: bool = False
+    """The cloud's list has named it."""
     seen: Seen = NEVER
     checked: int = 0
     """Tally of the newest check-in; answers to direct orders count in `seen` alone."""
