--- a/src/crosscleat/adapters/worker_client.py
+++ b/src/crosscleat/adapters/worker_client.py
@@ -14,6 +14,8 @@
 
 CONNECT_S = 0.8
 TIMEOUT_S = 2.0
+REPORTED = (200, 409)
+"""The answers whose body is the worker's report."""
 
 log = logging.getLogger("crosscleat.workers")
 
@@ -26,35 +28,33 @@
         self._session = session
         self._timeout = aiohttp.ClientTimeout(sock_connect=CONNECT_S)
 
+    async def _post(self, address: str, body: bytes) -> tuple[int, bytes]:
+        async with asyncio.timeout(TIMEOUT_S):
+            async with self._session.post(
+                f"http://{address}/do", data=body, timeout=self._timeout
+            ) as response:
+                return response.status, await response.read()
+
     async def probe(self, address: str, token: Token, session: Session) -> bytes | None:
         """The worker's report, unread, by a direct message without orders."""
-        body = wire.direct(token, session, ())
         try:
-            async with asyncio.timeout(TIMEOUT_S):
-                async with self._session.post(
-                    f"http://{address}/do", data=body, timeout=self._timeout
-                ) as response:
-                    answer = await response.read()
-                    return answer if response.status in (200, 409) else None
+            status, answer = await self._post(address, wire.direct(token, session, ()))
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             log.debug("%s: no answer to a probe (%s)", address, error or type(error).__name__)
             return None
+        return answer if status in REPORTED else None
 
     async def direct(self, call: Direct) -> tuple[Report | None, bool]:
         """The worker's report; and, without one, whether the orders may still be executed."""
         body = wire.direct(call.token, call.session, call.orders)
         try:
-            async with asyncio.timeout(TIMEOUT_S):
-                async with self._session.post(
-                    f"http://{call.address}/do", data=body, timeout=self._timeout
-                ) as response:
-                    answer = await response.read()
-                    if response.status not in (200, 409):
-                        return None, response.status >= 500
+            status, answer = await self._post(call.address, body)
         except _NEVER_SENT as error:
             log.debug("%s: not reached (%s)", call.address, error)
             return None, False
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             log.debug("%s: no answer (%s)", call.address, error or type(error).__name__)
             return None, True
+        if status not in REPORTED:
+            return None, status >= 500
         return wire.parse_check_in(answer), True
