--- a/src/crosscleat/core/election.py
+++ b/src/crosscleat/core/election.py
@@ -28,8 +28,8 @@
 from .ids import ABSENT, LONG_AGO, LeaseId, Member, Seconds, Token, Version
 
 LEADER = "leader"
-LIFE_S = 4.0
-RENEW_S = 1.0
+LIFE_S = 3.0
+RENEW_S = 0.8
 WATCH_S = 4.0
 UNSEAT_PAUSE_S = 20.0
 
--- a/src/crosscleat/core/leader.py
+++ b/src/crosscleat/core/leader.py
@@ -79,7 +79,9 @@
 CUT_OFF_SHARE = 0.1
 CUT_OFF_S = 2.0
 UNHEARD_S = 5.0
-"""No machine at all was heard for so long: the fault is with us."""
+LEAST_UNHEARD_S = 1.2
+UNHEARD_REPORTS = 25
+UNHEARD_TICKS = 10
 MOST_DIRECT_PAUSE_S = 48.0
 UNBROKEN_LEASES = 0.6
 MOST_PROBES = 6
@@ -159,6 +161,7 @@
         self._list_at = now
         self._listed_at = now
         self._many_quiet = False
+        self._silent_ticks = 0
         self._rotate_wanted = False
         self._rotated_at = now
         self._part_number = 0
@@ -372,6 +375,7 @@
         """Take in a report newer than all before it."""
         later_session = report.seen.session > machine.seen.session
         machine.seen = report.seen
+        self._silent_ticks = 0
         if check_in:
             machine.checked = report.seen.tally
         elif later_session:
@@ -716,9 +720,12 @@
         self._muted = [at for at in self._muted if now - at < MUTED_S]
         quiet = sum(1 for s in heard if s > quiet_s) + len(self._muted)
         self._many_quiet = many = quiet > max(2, MANY_SHARE * (len(heard) + len(self._muted))) or (
-            len(heard) > 1 and min(heard) > quiet_s
+            len(heard) > 1 and min(heard) > 1.25 * d.report_s + 0.5
         )
-        if (len(heard) > 1 and min(heard) > UNHEARD_S) or self._cut_off(machines, now):
+        # Ticks are counted too: a process that stood still has not listened.
+        self._silent_ticks += 1
+        unheard = len(heard) > 1 and self._silent_ticks >= UNHEARD_TICKS
+        if (unheard and min(heard) > self._unheard_s(len(heard))) or self._cut_off(machines, now):
             # They live or die by who answers them: let one lead whom they can reach.
             self.election.resign("no worker reaches us", rest_s=10.0)
             return
@@ -803,6 +810,11 @@
             ):
                 self.drop(machine, "no longer listed")
 
+    def _unheard_s(self, up: int) -> float:
+        """A silence of all machines in which so many reports are missing that we are at fault."""
+        expected = UNHEARD_REPORTS * self.deployment.report_s / up
+        return min(UNHEARD_S, max(LEAST_UNHEARD_S, expected))
+
     def _quiet_s(self) -> float:
         """A machine that was not heard for so long has missed a report."""
         return 1.5 * self.deployment.report_s + 1.0
--- a/tests/test_unheard.py
+++ b/tests/test_unheard.py
@@ -15,6 +15,7 @@
     Zone,
 )
 from crosscleat.core.jobs import Job, live_key, live_record
+from crosscleat.core.placements import Machine
 from crosscleat.core.records import WorkRecords
 from crosscleat.core.reports import ListedMachine
 
@@ -120,6 +121,24 @@
     assert term.lost == ["no worker reaches us"]
 
 
+def test_a_leader_of_many_machines_notices_soon_that_it_hears_none() -> None:
+    term = Term()
+    types = term.leader.fleet.types
+    for n in range(100):
+        one = Machine(MachineId(f"m-{n}"), types[TYPES[0].name], Zone("a"), True)
+        one.up = True
+        one.last_heard = one.born = term.now
+        term.leader.ledger.machines[one.id] = one
+    # A process that stood still for a while has not listened: that is no silence.
+    term.step(4.0)
+    term.leader.tick(term.now)
+    assert term.lost == []
+    for _ in range(9):
+        term.step(0.01)
+        term.leader.tick(term.now)
+    assert term.lost == ["no worker reaches us"]
+
+
 @pytest.fixture
 def busy() -> World:
     world = World(3)
