--- /dev/null
+++ b/src/crosscleat/core/batch.py
@@ -0,0 +1,79 @@
+"""One leader's transaction in the making: what it writes, and what each write compares."""
+
+from __future__ import annotations
+
+from .effects import Put, Remove
+from .election import LEADER
+from .ids import Attempt, Version
+from .jobs import Job, Stretch, ended_key, ended_record, live_key
+from .placements import Machine
+from .records import DropRecord, WorkRecord
+
+MOST_BYTES = 48 * 1024
+"""64 KiB is the limit for a whole transaction: leave room for conditions and ends."""
+
+
+class Batch:
+    """Room for writes, conditions and bytes, as the store limits them."""
+
+    def __init__(self, token: int, most: int) -> None:
+        self.conditions: dict[str, Version] = {LEADER: Version(token)}
+        self.writes: list[Put | Remove] = []
+        self.drops: list[Machine] = []
+        self.drop_record: DropRecord | None = None
+        self.jobs: dict[Job, None] = {}
+        """Those whose live record is compared."""
+        self.ended: list[Job] = []
+        self.records: list[WorkRecord] = []
+        self.closing: list[WorkRecord] = []
+        self.stretches: list[tuple[Job, Stretch, frozenset[tuple[int, Attempt]]]] = []
+        self._most = most
+        self._most_conditions = 4 * most
+        self._bytes_left = MOST_BYTES
+
+    def room(self, writes: int, conditions: int) -> bool:
+        return (
+            len(self.writes) + writes <= self._most
+            and len(self.conditions) + writes + conditions <= self._most_conditions
+        )
+
+    def limit(self, more: int) -> None:
+        """From here on, only so many writes more."""
+        self._most = min(self._most, len(self.writes) + more)
+
+    def put(self, write: Put, version: Version) -> None:
+        self.conditions[write.key] = version
+        self.writes.append(write)
+
+    def remove(self, key: str, version: Version) -> None:
+        self.conditions[key] = version
+        self.writes.append(Remove(key))
+
+    def _compare_job(self, job: Job) -> None:
+        self.conditions[live_key(job.ref)] = job.version
+        self.jobs[job] = None
+
+    def end(self, job: Job) -> None:
+        self._compare_job(job)
+        record = ended_record(job.spec.tasks, aborted=job.aborted)
+        self.writes.append(Put(ended_key(job.ref), record))
+        self.writes.append(Remove(live_key(job.ref)))
+        self.ended.append(job)
+
+    def record(self, record: WorkRecord) -> None:
+        """Write it, if there is room, comparing each job of which an attempt is new."""
+        starting = [job for job, stretch in record.members.values() if stretch.unrecorded()]
+        if record in self.records or record.size > self._bytes_left:
+            return
+        if not self.room(1, len(starting)):
+            return
+        self._bytes_left -= record.size
+        for job in starting:
+            self._compare_job(job)
+        self.put(Put(record.key, record.value()), record.version)
+        self.records.append(record)
+        for job, stretch in record.members.values():
+            recorded = frozenset((i, p.attempt) for i, p in stretch.placed.items())
+            self.stretches.append((job, stretch, recorded))
+        record.dirty = False
+        record.urgent = None
--- a/tests/test_isolated.py
+++ b/tests/test_isolated.py
@@ -4,9 +4,9 @@
 
 import pytest
 
+from crosscleat.core.batch import Batch
 from crosscleat.core.ids import MachineId, Seconds, Session, Team, Version
 from crosscleat.core.jobs import Job, live_key
-from crosscleat.core.leader import Batch
 from crosscleat.core.model import Priority
 from crosscleat.core.records import WorkRecords
 
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -8,10 +8,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from crosscleat.core.batch import Batch
 from crosscleat.core.effects import Item
 from crosscleat.core.ids import ABSENT, JobRef, MachineId, Seconds, Session, Version
 from crosscleat.core.jobs import STRETCH, Job
-from crosscleat.core.leader import Batch
 from crosscleat.core.model import Priority
 from crosscleat.core.records import DropRecords, WorkRecords
 
