--- a/src/crosscleat/core/leader.py
+++ b/src/crosscleat/core/leader.py
@@ -85,8 +85,9 @@
 MOST_PROBES = 6
 PROBE_S = 1.5
 MUTED_S = 20.0
+DEAF_S = 2.0
 MANY_SHARE = 0.1
-"""So many that fell silent did not all end: the network is at fault."""
+"""So many that fall silent did not all end, nor are so many deaf."""
 MOST_ORDERS = 300
 MOST_DROPS = 100
 MOST_CHOICES = 48
@@ -157,6 +158,10 @@
         self._list_at = now
         self._listed_at = now
         self._many_quiet = False
+        self._deaf = 0
+        """Machines that have taken up no orders for a while."""
+        self._deafened: list[Seconds] = []
+        """When sessions ended although we had answered."""
         self._silent_ticks = 0
         self._rotate_wanted = False
         self._rotated_at = now
@@ -327,7 +332,9 @@
         answered = now - machine.answered_at < most_s < now - machine.answered_from
         if report.seen.session > machine.seen.session:
             if answered and machine.known:
-                self.drop(machine, "its lease ran out though we answered")
+                self._deafened.append(now)
+                if not self._many(len(self._deafened)):
+                    self.drop(machine, "its lease ran out though we answered")
             return
         listed = {(task.task, task.attempt) for task in report.tasks}
         missed = any(
@@ -338,9 +345,13 @@
             machine.deaf_since = None
         elif machine.deaf_since is None:
             machine.deaf_since = now
-        elif now - machine.deaf_since > self._silent_s():
+        elif now - machine.deaf_since > self._silent_s() and not self._many(self._deaf):
             self.drop(machine, "takes up no orders")
 
+    def _many(self, count: int) -> bool:
+        """So many at once can't all be at fault: we are, or the network."""
+        return count > max(2, MANY_SHARE * len(self.ledger.machines))
+
     def _silent_s(self) -> float:
         return self.knobs.silence_leases * self.deployment.lease_s
 
@@ -718,6 +729,13 @@
         self._many_quiet = many = quiet > max(2, MANY_SHARE * (len(heard) + len(self._muted))) or (
             len(heard) > 1 and min(heard) > 1.25 * d.report_s + 0.5
         )
+        self._deafened = [at for at in self._deafened if now - at < MUTED_S]
+        deaf = (m for m in machines if m.up and not m.dropping and m.deaf_since is not None)
+        self._deaf = sum(1 for m in deaf if now - (m.deaf_since or now) > DEAF_S)
+        if self._deaf > max(2, 0.5 * len(heard)):
+            # Slow, or heard by none: our answers come too late or not at all.
+            self.election.resign("no worker hears us", rest_s=10.0)
+            return
         # Ticks are counted too: a process that stood still has not listened.
         self._silent_ticks += 1
         unheard = len(heard) > 1 and self._silent_ticks >= UNHEARD_TICKS
--- a/tests/test_unheard.py
+++ b/tests/test_unheard.py
@@ -139,6 +139,22 @@
     assert term.lost == ["no worker reaches us"]
 
 
+def test_a_leader_whose_answers_reach_no_worker_returns_none_and_resigns() -> None:
+    term = Term()
+    for n in range(10):
+        one = Machine(MachineId(f"m-{n}"), TYPES[0], Zone("a"), True)
+        one.up = True
+        one.last_heard = one.born = term.now
+        one.deaf_since = term.now
+        term.leader.ledger.machines[one.id] = one
+    term.step(2.5)
+    for one in term.leader.ledger.machines.values():
+        one.last_heard = term.now
+    term.leader.tick(term.now)
+    assert term.lost == ["no worker hears us"]
+    assert not any(one.dropping for one in term.leader.ledger.machines.values())
+
+
 @pytest.fixture
 def busy() -> World:
     world = World(3)
