--- a/tests/test_unheard.py
+++ b/tests/test_unheard.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from crosscleat.core.effects import Answer, Direct, Item, Orders
+from crosscleat.core.effects import Answer, DeleteMachines, Direct, Item, Orders
 from crosscleat.core.ids import (
     MachineId,
     Seconds,
@@ -44,6 +44,20 @@
     assert term.usable, "it has seen our token, so it lives"
 
 
+def test_an_old_report_does_not_bring_back_a_machine_that_we_deleted() -> None:
+    term = Term()
+    term.hear((1, 40))
+    machine = term.leader.ledger.machines[MachineId("m-0")]
+    term.leader.drop(machine, "test")
+    machine.drop_recorded = True
+    term.leader.tick(term.now)
+    (delete,) = [e for e in term.out.take() if isinstance(e, DeleteMachines)]
+    delete.then(True)
+    # It was on its way when the machine was deleted, and shows our token.
+    assert term.hear((1, 41)) == [Answer(1, 503, None, 1)]
+    assert term.leader.ledger.machines == {}
+
+
 def test_a_late_copy_renews_nothing() -> None:
     term = Term()
     term.hear((1, 40))
