--- a/tests/term.py
+++ b/tests/term.py
@@ -13,13 +13,16 @@
     Seen,
     Session,
     Token,
+    Version,
     WallTime,
     Zone,
 )
+from crosscleat.core.jobs import Job, live_key, live_record
 from crosscleat.core.leader import Leader
+from crosscleat.core.records import WorkRecords
 from crosscleat.core.reports import Report
 
-from .world import TYPES, deployment
+from .world import TYPES, deployment, job
 
 BEGAN = Seconds(50.0)
 TOKEN = 9
@@ -66,3 +69,13 @@
     @property
     def dropping(self) -> bool:
         return self.leader.ledger.machines[MachineId("m-0")].dropping
+
+
+def held(session: int, estimate_s: float = 6.0) -> tuple[list[Item], list[Item]]:
+    """What the store holds of one job with a task on m-0, in that session."""
+    spec = job("job-1", tasks=1, estimate_s=estimate_s)
+    before = Job(spec, Version(3), Seconds(0.0))
+    before.place(MachineId("m-0"), Session(session))
+    record = WorkRecords(16.0, 8).of(before, before.stretch_of(0))
+    live = Item(live_key(spec.ref), live_record(spec, WallTime(-40.0), aborted=False), Version(3))
+    return [live], [Item(record.key, record.value(), Version(4))]
--- a/tests/test_isolated.py
+++ b/tests/test_isolated.py
@@ -5,12 +5,12 @@
 import pytest
 
 from crosscleat.core.batch import Batch
-from crosscleat.core.ids import MachineId, Seconds, Session, Team, Version
+from crosscleat.core.ids import MachineId, Seconds, Session, Version
 from crosscleat.core.jobs import Job, live_key
 from crosscleat.core.model import Priority
 from crosscleat.core.records import WorkRecords
 
-from .world import CANCEL_S, LEASE_S, MEMBERS, REGION, World, job
+from .world import CANCEL_S, LEASE_S, MEMBERS, REGION, World, at_work, job
 
 
 def leader_of(world: World) -> str:
@@ -34,12 +34,7 @@
 @pytest.fixture
 def busy() -> World:
     """A world in which long tasks run, and no machine is faulty."""
-    world = World(3)
-    world.clock.advance(3.0)
-    world.submit(job("job-long", tasks=3, estimate_s=400.0, team=Team("blue")))
-    world.clock.advance(20.0)
-    for worker in world.workers.values():
-        worker.faulty = False
+    world = at_work(estimate_s=400.0, for_s=20.0)
     assert running(world, "job-long") == 3
     return world
 
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -2,58 +2,26 @@
 
 from __future__ import annotations
 
-from random import Random
-
-from crosscleat.core.effects import Item, Outbox
-from crosscleat.core.election import Election
 from crosscleat.core.ids import (
     Attempt,
     JobRef,
     MachineId,
-    Member,
     Seconds,
     Seen,
     Session,
     TaskId,
-    Token,
-    Version,
-    WallTime,
     Zone,
 )
-from crosscleat.core.jobs import Job, live_key, live_record
 from crosscleat.core.leader import Leader
-from crosscleat.core.records import WorkRecords
 from crosscleat.core.reports import Report, TaskReport
 
-from .world import TYPES, deployment, job
+from .term import Term, held
+from .world import TYPES
 
 
 def inherit() -> Leader:
     """A leader that takes over one running task of an estimated 100 s."""
-    out = Outbox()
-    election = Election(
-        Member("c0"), "boot", out, Random(1), lambda: Seconds(50.0),
-        lambda _delay, _then: None, lambda _token: None, lambda _why: None,
-    )  # fmt: skip
-    election.token = Token(9)
-    election.contact = Seconds(50.0)
-    leader = Leader(
-        deployment("c0"),
-        election,
-        out,
-        Random(1),
-        {kind.name: kind for kind in TYPES},
-        Seconds(50.0),
-        WallTime(0.0),
-    )
-    spec = job("job-1", tasks=1, estimate_s=100.0)
-    before = Job(spec, Version(3), Seconds(0.0))
-    before.place(MachineId("m-0"), Session(1))
-    live = Item(live_key(spec.ref), live_record(spec, WallTime(-40.0), aborted=False), Version(3))
-    record = WorkRecords(16.0, 8).of(before, before.stretch_of(0))
-    work = Item(record.key, record.value(), Version(4))
-    leader.load([live], [work], [], Seconds(50.0))
-    return leader
+    return Term(*held(session=1, estimate_s=100.0)).leader
 
 
 def report(tally: int, state: str, cause: str | None = None) -> Report:
--- a/tests/test_unheard.py
+++ b/tests/test_unheard.py
@@ -4,33 +4,17 @@
 
 import pytest
 
-from crosscleat.core.effects import Answer, DeleteMachines, Direct, Item, Orders
+from crosscleat.core.effects import Answer, DeleteMachines, Direct, Orders
 from crosscleat.core.ids import (
     MachineId,
-    Seconds,
-    Session,
     Team,
-    Version,
-    WallTime,
     Zone,
 )
-from crosscleat.core.jobs import Job, live_key, live_record
 from crosscleat.core.placements import Machine
-from crosscleat.core.records import WorkRecords
 from crosscleat.core.reports import ListedMachine
 
-from .term import TOKEN, Term
-from .world import LEASE_S, MEMBERS, TYPES, World, job
-
-
-def held(session: int) -> tuple[list[Item], list[Item]]:
-    """What the store holds of one job with a task on m-0, in that session."""
-    spec = job("job-1", tasks=1)
-    before = Job(spec, Version(3), Seconds(0.0))
-    before.place(MachineId("m-0"), Session(session))
-    record = WorkRecords(16.0, 8).of(before, before.stretch_of(0))
-    live = Item(live_key(spec.ref), live_record(spec, WallTime(-40.0), aborted=False), Version(3))
-    return [live], [Item(record.key, record.value(), Version(4))]
+from .term import TOKEN, Term, held
+from .world import LEASE_S, MEMBERS, TYPES, World, at_work, job
 
 
 def test_a_machine_of_which_only_an_old_copy_speaks_gets_no_work() -> None:
@@ -171,13 +155,7 @@
 
 @pytest.fixture
 def busy() -> World:
-    world = World(3)
-    world.clock.advance(3.0)
-    world.submit(job("job-long", tasks=3, estimate_s=60.0, team=Team("blue")))
-    world.clock.advance(15.0)
-    for worker in world.workers.values():
-        worker.faulty = False
-    return world
+    return at_work(estimate_s=60.0, for_s=15.0)
 
 
 def hosts(world: World) -> list[str]:
--- a/tests/world.py
+++ b/tests/world.py
@@ -943,5 +943,16 @@
                 raise RuleBroken(f"not_done: {ref} lacks {missing}")
 
 
+def at_work(estimate_s: float, for_s: float) -> World:
+    """A world whose machines have worked on one job for a while, and none of them is faulty."""
+    world = World(3)
+    world.clock.advance(3.0)
+    world.submit(job("job-long", tasks=3, estimate_s=estimate_s, team=Team("blue")))
+    world.clock.advance(for_s)
+    for worker in world.workers.values():
+        worker.faulty = False
+    return world
+
+
 def void(_: object) -> None:
     """Makes a statement of an expression."""
