--- a/src/crosscleat/core/fleet.py
+++ b/src/crosscleat/core/fleet.py
@@ -11,7 +11,7 @@
 from .jobs import Job
 from .model import JobSpec, Knobs, MachineType, Priority, TeamLimits
 from .placements import Machine
-from .rounds import troubled
+from .rounds import fetch_time, troubled
 
 MOST_PER_RENTAL = 50
 WINDOW_S = 120.0
@@ -39,6 +39,9 @@
     refused_until: Seconds = LONG_AGO
     backoff_s: float = 8.0
 
+    def open(self, now: Seconds) -> bool:
+        return self.refused_until <= now
+
     def refuse(self, now: Seconds) -> None:
         self.refused_until = Seconds(now + self.backoff_s)
         self.backoff_s = min(60.0, self.backoff_s * 1.7)
@@ -259,7 +262,7 @@
         options = []
         for kind, key in suited:
             late = self._late(spec, kind) < age < SERVED_S
-            if self.pool(key).refused_until > now:
+            if not self.pool(key).open(now):
                 continue
             if choosy and late and self.dear(kind, key.spot):
                 continue
@@ -272,8 +275,7 @@
 
     def _late(self, spec: JobSpec, kind: MachineType) -> float:
         """The age from which renting such a machine can't complete the job's tasks on time."""
-        fetch_s = spec.image_gb / kind.fetch_gb_per_s if kind.fetch_gb_per_s > 0 else 0.0
-        return self._due(spec) - self._run_s(spec) - kind.boot_s - fetch_s
+        return self._due(spec) - self._run_s(spec) - kind.boot_s - fetch_time(spec, kind)
 
     def _cheapest(self, cpus: float, now: Seconds, dear: bool) -> Wanted | None:
         options = [
@@ -281,7 +283,7 @@
             for kind in self.types.values()
             if 0.0 < kind.cpus <= 2.0 * cpus
             for key in self._pools_of(kind)
-            if self.pool(key).refused_until <= now and self.dear(kind, key.spot) == dear
+            if self.pool(key).open(now) and self.dear(kind, key.spot) == dear
         ]
         if not options:
             return None
--- a/src/crosscleat/core/leader.py
+++ b/src/crosscleat/core/leader.py
@@ -57,7 +57,7 @@
 from .placements import NOWHERE, AttemptKey, Hold, Ledger, Machine
 from .records import DropRecords, WorkRecord, WorkRecords
 from .reports import ListedMachine, Report, TaskReport
-from .rounds import Round, fetch_time, troubled, within
+from .rounds import MOST_CHOICES, Round, fetch_time, troubled, within
 from .scoring import RunTimes, Scorer
 
 MARGIN_S = 1.5
@@ -90,7 +90,6 @@
 """So many that fall silent did not all end, nor are so many deaf."""
 MOST_ORDERS = 300
 MOST_DROPS = 100
-MOST_CHOICES = 48
 PART_S = 0.4
 """How long an owner's part waits for its proposal."""
 SUSPECT_JOBS = 2
@@ -1001,7 +1000,7 @@
         )
         self.ledger.add(machine, hold)
         last = max(machine.images.values(), default=now)
-        ready = Seconds(max(now, last) + fetch_time(job, machine.type))
+        ready = Seconds(max(now, last) + fetch_time(spec, machine.type))
         machine.use_image(spec.image, spec.image_gb, ready)
 
     # Renting
--- a/src/crosscleat/core/parting.py
+++ b/src/crosscleat/core/parting.py
@@ -18,11 +18,10 @@
 from .jobs import Job
 from .model import Deployment, JobSpec, MachineType, Priority, Shape, TeamLimits
 from .placements import Ledger, Machine
-from .rounds import Choice, Kept, Round, troubled
+from .rounds import MOST_CHOICES, Choice, Kept, Round, troubled
 from .scoring import RunTimes, Scorer
 
 MOST_JOBS = 60
-MOST_CHOICES = 48
 
 
 class JobView(msgspec.Struct, array_like=True, frozen=True):
--- a/src/crosscleat/core/rounds.py
+++ b/src/crosscleat/core/rounds.py
@@ -18,7 +18,7 @@
 
 from .ids import JobRef, MachineId, Seconds, Team, TypeName
 from .jobs import Job
-from .model import MachineType, Priority, Shape, TeamLimits
+from .model import JobSpec, MachineType, Priority, Shape, TeamLimits
 from .placements import Ledger, Machine
 from .scoring import Scorer
 
@@ -26,6 +26,8 @@
 """Pairs of a job and a machine that one round looks at; beyond it machines are sampled, as the
 users want under overload."""
 LEAST_SAMPLE = 24
+MOST_CHOICES = 48
+"""Choices of one round; the next one goes on."""
 LARGE_SHARE = 0.3
 """A task that takes so much of a machine finds no room where small ones take whatever is freed."""
 KEPT_AFTER_S = 5.0
@@ -374,7 +376,7 @@
         pulling = self._pulling.get((machine.id, job.spec.image))
         if pulling is not None:
             return pulling
-        return room.fetching_s + fetch_time(job, machine.type)
+        return room.fetching_s + fetch_time(job.spec, machine.type)
 
     def _best_utility(self, job: Job) -> float:
         """Paper section 3.3: what the task could earn if it started now."""
@@ -384,7 +386,7 @@
     def _max_cost(self, waiting: list[Job]) -> float:
         kinds = {(room.machine.type.name, room.machine.spot): room.machine for room in self._rooms}
         costs = (
-            self._scorer.cost(job.spec, m.type, m.spot, fetch_time(job, m.type))
+            self._scorer.cost(job.spec, m.type, m.spot, fetch_time(job.spec, m.type))
             for job in waiting
             for m in kinds.values()
         )
@@ -400,5 +402,5 @@
     return not job.succeeded and len(job.failed_on) >= TROUBLED_MACHINES
 
 
-def fetch_time(job: Job, kind: MachineType) -> float:
-    return job.spec.image_gb / kind.fetch_gb_per_s if kind.fetch_gb_per_s > 0 else 0.0
+def fetch_time(spec: JobSpec, kind: MachineType) -> float:
+    return spec.image_gb / kind.fetch_gb_per_s if kind.fetch_gb_per_s > 0 else 0.0
