--- a/src/crosscleat/adapters/http_server.py
+++ b/src/crosscleat/adapters/http_server.py
@@ -51,7 +51,8 @@
 class HttpServer:
     """One door for all: it tells requests apart, bounds them, and asks the controller."""
 
-    def __init__(self, ask: Ask, check_in: CheckIn, most: int) -> None:
+    def __init__(self, ask: Ask, check_in: CheckIn, ready: Callable[[], bool], most: int) -> None:
+        self._ready = ready
         self._ask = ask
         self._check_in = check_in
         self._most = most
@@ -111,7 +112,7 @@
                 return _closing(400)
             return await self._submit(body)
         if path == "/ready" and method == "GET":
-            return web.Response()
+            return web.Response(status=200 if self._ready() else 503)
         return _closing(404)
 
     async def _submit(self, body: bytes) -> web.Response:
--- a/src/crosscleat/adapters/peer_link.py
+++ b/src/crosscleat/adapters/peer_link.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
 from random import Random
 
 import msgspec
@@ -12,8 +13,9 @@
 from ..wire import peers as wire
 from .clock import steady
 
-PING_S = 1.5
+PING_S = 1.0
 DEAD_S = 5.0
+ALONE_S = 2.5
 CONNECT_S = 2.0
 RELAY_S = 2.5
 MOST_BUFFERED = 1 << 20
@@ -21,6 +23,37 @@
 log = logging.getLogger("crosscleat.peers")
 
 Answered = tuple[int, bytes]
+
+
+@dataclass(slots=True)
+class Health:
+    """Whom the state service serves, as far as we and the others know."""
+
+    served: Callable[[], bool]
+    failing_s: Callable[[], float]
+    _others: dict[str, float] = field(default_factory=dict)
+
+    def heard(self, peer: str, ping: wire.Ping) -> None:
+        if ping.served:
+            self._others[peer] = steady()
+        else:
+            self._others.pop(peer, None)
+
+    def refused_alone(self) -> bool:
+        """Others are served while we are not: users are better off with them.
+
+        In an outage of all, the others find out a little later than we do, or earlier.
+        """
+        failing_s = self.failing_s()
+        if failing_s < ALONE_S:
+            return False
+        now = steady()
+        return any(
+            now - at < 2.0 * PING_S and at > now - failing_s + ALONE_S - PING_S
+            for at in self._others.values()
+        )
+
+
 Handler = Callable[[bytes], Awaitable[Answered]]
 
 
@@ -28,8 +61,15 @@
     """Our connection to one other controller: relays go out, answers and counts come in."""
 
     def __init__(
-        self, member: str, peer: str, address: str, rng: Random, gone: Callable[[str], None]
+        self,
+        member: str,
+        peer: str,
+        address: str,
+        rng: Random,
+        health: Health,
+        gone: Callable[[str], None],
     ) -> None:
+        self._health = health
         self._member = member
         self.peer = peer
         host, _, port = address.rpartition(":")
@@ -99,6 +139,8 @@
                     future = self._waiting.get(message.number)
                     if future is not None and not future.done():
                         future.set_result((message.status, message.body))
+                elif isinstance(message, wire.Ping):
+                    self._health.heard(self.peer, message)
         except (OSError, EOFError, TimeoutError, ValueError) as error:
             log.debug("link to %s: %s", self.peer, error or type(error).__name__)
         finally:
@@ -113,15 +155,20 @@
     async def _ping(self) -> None:
         while True:
             await asyncio.sleep(PING_S)
-            self.send(wire.Ping())
+            self.send(wire.Ping(self._health.served()))
 
 
 class PeerServer:
     """Takes the others' links: answers their relays and hears the leader's counts."""
 
     def __init__(
-        self, peers: set[str], check_in: Handler, counts: Callable[[wire.Counts], None]
+        self,
+        peers: set[str],
+        check_in: Handler,
+        health: Health,
+        counts: Callable[[wire.Counts], None],
     ) -> None:
+        self._health = health
         self._peers = peers
         self._check_in = check_in
         self._counts = counts
@@ -150,7 +197,8 @@
                 elif isinstance(message, wire.Counts):
                     self._counts(message)
                 elif isinstance(message, wire.Ping):
-                    writer.write(wire.frame(wire.Ping()))
+                    self._health.heard(peer, message)
+                    writer.write(wire.frame(wire.Ping(self._health.served())))
         except ValueError as error:
             if peer not in self._scolded:
                 self._scolded.add(peer)
--- a/src/crosscleat/adapters/state_client.py
+++ b/src/crosscleat/adapters/state_client.py
@@ -45,6 +45,7 @@
 REFUSED = (429, 503)
 DOWN_AFTER = 3
 USER_READ_S = 1.5
+CHECK_S = 1.0
 READ_SHARE = 0.3
 """One controller's part of the region's requests for its users' reads: three leave a tenth."""
 WRITE_SHARE = 0.7
@@ -73,6 +74,8 @@
         self._writes = Pacer(write_rps * WRITE_SHARE)
         self._failures = 0
         self._probe_at = 0.0
+        self._ok_at = steady()
+        self._failing_since: float | None = None
         self._leader_lane = Lane(self._decide, txn_ops)
         self._user_lane = Lane(self._decide, txn_ops)
 
@@ -80,6 +83,25 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self._leader_lane.run())
             group.create_task(self._user_lane.run())
+            group.create_task(self._keep_checking())
+
+    async def _keep_checking(self) -> None:
+        """Whoever is refused takes no requests, so it must find out by itself when that ends."""
+        while True:
+            await asyncio.sleep(CHECK_S)
+            if steady() - self._ok_at > CHECK_S:
+                await self._try("GET", "/kv/leader", None, TRY_S)
+
+    @property
+    def well(self) -> bool:
+        """Whether the service served us last."""
+        return self._failures == 0
+
+    def failing_s(self) -> float:
+        """For how long it has not served us; 0 while it does, or may after all."""
+        if self._failures < DOWN_AFTER or self._failing_since is None:
+            return 0.0
+        return steady() - self._failing_since
 
     # One request
 
@@ -98,10 +120,14 @@
             self._failed()
         else:
             self._failures = 0
+            self._failing_since = None
+            self._ok_at = steady()
         return result
 
     def _failed(self) -> None:
         self._failures += 1
+        if self._failing_since is None:
+            self._failing_since = steady()
         self._probe_at = steady() + 0.25
 
     def _down(self) -> bool:
@@ -216,6 +242,9 @@
         writes = sum(len(commit.writes) for commit in commits)
         unclear = False
         pause = 0.04
+        if commits[0].for_user and self._down():
+            # It went away while these waited for their turn.
+            return None
         while True:
             await self._writes.take(writes)
             left = give_up - steady()
--- a/src/crosscleat/app.py
+++ b/src/crosscleat/app.py
@@ -16,7 +16,7 @@
 from .adapters import clock
 from .adapters.cloud_client import CloudClient
 from .adapters.http_server import HttpServer, UserInput
-from .adapters.peer_link import Link, PeerServer
+from .adapters.peer_link import Health, Link, PeerServer
 from .adapters.state_client import StateClient
 from .adapters.worker_client import WorkerClient
 from .core.controller import Began, CheckIn, Completed, Controller, Input, PeerGone, Progress, Tick
@@ -72,9 +72,15 @@
         )
         self._cloud = CloudClient(session, settings.endpoints.cloud)
         self._workers = WorkerClient(session)
+        self._health = Health(lambda: self._state.well, self._state.failing_s)
         self._links = {
             peer.member: Link(
-                settings.member, peer.member, peer.endpoint, self._rng, self._peer_gone
+                settings.member,
+                peer.member,
+                peer.endpoint,
+                self._rng,
+                self._health,
+                self._peer_gone,
             )
             for peer in settings.peers
         }
@@ -96,8 +102,8 @@
 
     async def run(self) -> None:
         most = self._settings.settings.resources.max_sockets
-        peers = PeerServer(set(self._links), self._answer_relay, self._counts)
-        server = HttpServer(self._ask, self._check_in, int(most * LISTEN_SHARE))
+        peers = PeerServer(set(self._links), self._answer_relay, self._health, self._counts)
+        server = HttpServer(self._ask, self._check_in, self._ready, int(most * LISTEN_SHARE))
         await peers.start(self._settings.peer_bind)
         async with asyncio.TaskGroup() as group:
             group.create_task(self._state.run())
@@ -212,6 +218,9 @@
             return 200, worker_wire.answer(answer.token, answer.orders)
         return NOT_NOW
 
+    def _ready(self) -> bool:
+        return self._controller.knows_types and not self._health.refused_alone()
+
     def _peer_gone(self, member: str) -> None:
         self._step(PeerGone(Member(member)))
 
--- a/src/crosscleat/core/controller.py
+++ b/src/crosscleat/core/controller.py
@@ -132,6 +132,11 @@
             self._lost,
         )
 
+    @property
+    def knows_types(self) -> bool:
+        """Without the machine types no submission can be decided."""
+        return bool(self._types)
+
     def step(self, given: Input, now: Seconds, wall: WallTime) -> list[Effect]:
         self._now, self._wall = now, wall
         if self.leader is not None:
--- a/src/crosscleat/wire/peers.py
+++ b/src/crosscleat/wire/peers.py
@@ -14,7 +14,9 @@
 
 
 class Ping(msgspec.Struct, array_like=True, tag="ping", frozen=True):
-    pass
+    """Still there; and whether the state service serves the sender."""
+
+    served: bool
 
 
 class Relay(msgspec.Struct, array_like=True, tag="relay", frozen=True):
