Rounds and renting look at machines with room alone, not at every full one for each job

Beyond 12,000 pairs a sample of all machines also missed those few with room: of 30 choices that a flooded round of 1,000 machines can make, 10 were found (test_size).

--- a/src/crosscleat/core/fleet.py
+++ b/src/crosscleat/core/fleet.py
@@ -185,7 +185,9 @@
         used = dict(team_cpus)
         current = sum(team_cpus.values())
         homeless: list[tuple[Job, int]] = []
-        spaces = [Space.of(machine) for machine in usable]
+        # Most machines are full, and stay out of it: else each job would look at all of them.
+        least = min((job.spec.cpus for job in waiting), default=0.0) - 1e-9
+        spaces = [space for machine in usable if (space := Space.of(machine)).cpus >= least]
         for job in waiting:
             spec = job.spec
             limit = teams[spec.team].cpus_max if spec.team in teams else 0.0
@@ -195,11 +197,20 @@
                 count = max(0, min(count, int(room / spec.cpus + 1e-9)))
             used[spec.team] = used.get(spec.team, 0.0) + count * spec.cpus
             current += count * spec.cpus
+            filled = False
             for space in spaces:
                 if count <= 0:
                     break
-                if space.machine.allowed(spec) and space.machine.id not in job.failed_on:
+                if (
+                    spec.cpus <= space.cpus + 1e-9
+                    and spec.memory_gb <= space.memory_gb + 1e-9
+                    and space.machine.allowed(spec)
+                    and space.machine.id not in job.failed_on
+                ):
                     count -= space.house(spec, count)
+                    filled = filled or space.cpus < least
+            if filled:
+                spaces = [space for space in spaces if space.cpus >= least]
             if count > 0:
                 homeless.append((job, count))
         self.demand.sample(current, now)
--- a/src/crosscleat/core/rounds.py
+++ b/src/crosscleat/core/rounds.py
@@ -10,13 +10,13 @@
 import math
 from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 from typing import NamedTuple
 
 import msgspec
 
-from .ids import JobRef, MachineId, Seconds, Team, TypeName
+from .ids import JobRef, MachineId, Seconds, Team, TypeName, Zone
 from .jobs import Job
 from .model import JobSpec, MachineType, Priority, Shape, TeamLimits
 from .placements import Ledger, Machine
@@ -61,7 +61,8 @@
     cpus: float
     gpus: float
     memory: float
-    fetching_s: float
+    fetching_s: float = 0.0
+    """Until its fetches are over; reckoned for those with room only."""
     kept: Kept | None = None
 
     def fits(self, job: Job) -> bool:
@@ -78,6 +79,16 @@
         self.memory -= job.spec.memory_gb
 
 
+@dataclass(slots=True)
+class Kind:
+    """The rooms on machines of one type, zone and kind of rental."""
+
+    machine: Machine
+    """Any of them."""
+    rooms: list[Room] = field(default_factory=list)
+    kept: int = 0
+
+
 class Round:
     def __init__(
         self,
@@ -101,6 +112,8 @@
         self._zones: dict[JobRef, dict[str, int]] = {}
         self._pulling: dict[tuple[MachineId, str], float] = {}
         self._rooms: list[Room] = []
+        self._open: list[Room] = []
+        """Those that could have at least the smallest task."""
         self._taken: dict[JobRef, int] = {}
         self._ranked: dict[JobRef, deque[tuple[float, Room]]] = {}
         """The machines that each job may go to, best first, as far as they are not used up."""
@@ -122,8 +135,14 @@
         if not waiting:
             return []
         self._enter(machines)
-        if not self._rooms:
+        # Most machines are full, and stay out of it: neither ranked nor sampled.
+        least = min(job.spec.cpus for job in waiting) - 1e-9
+        self._open = [room for room in self._rooms if room.cpus >= least]
+        if not self._open:
             return []
+        for room in self._open:
+            images = room.machine.images.values()
+            room.fetching_s = max(0.0, max(images, default=self._now) - self._now)
         self._sample = max(LEAST_SAMPLE, MOST_PAIRS // len(waiting))
         self._scorer.max_cost = self._max_cost(waiting)
         if kept is None:
@@ -156,18 +175,13 @@
         return {room.machine.id: room.kept for room in self._rooms if room.kept is not None}
 
     def _enter(self, machines: Iterable[Machine]) -> None:
-        now = self._now
         for machine in machines:
             kind = machine.type
-            waiting_s = max(
-                (ready - now for ready in machine.images.values() if ready > now), default=0.0
-            )
             room = Room(
                 machine,
                 kind.cpus - machine.used_cpus,
                 kind.gpus - machine.used_gpus,
                 kind.memory_gb - machine.used_memory,
-                waiting_s,
             )
             self._free += max(0.0, room.cpus)
             self._rooms.append(room)
@@ -177,25 +191,41 @@
 
         Without it small tasks take whatever is freed, and the large ones never begin.
         """
-        by_age = sorted(waiting, key=lambda job: job.submitted)
-        for job in by_age:
+        # Machines of a kind are alike to a job: it looks at each kind once, not at each machine.
+        groups: dict[tuple[TypeName, Zone, bool], Kind] = {}
+        for room in self._rooms:
+            machine = room.machine
+            key = (machine.type.name, machine.zone, machine.spot)
+            group = groups.get(key)
+            if group is None:
+                group = groups[key] = Kind(machine)
+            group.rooms.append(room)
+        for job in sorted(waiting, key=lambda job: job.submitted):
             if self._now - job.submitted < KEPT_AFTER_S:
                 return
             if not self._team_admits(job):
                 continue
-            able = [r for r in self._rooms if self._large_on(job, r)]
-            free = [r for r in able if r.kept is None]
-            most = max(1, int(KEPT_SHARE * len(able))) - (len(able) - len(free))
-            free.sort(key=lambda r: (-r.cpus, -r.memory))
-            for room in free[: max(0, min(most, job.waiting_count()))]:
+            able = [group for group in groups.values() if self._large_on(job, group.machine)]
+            most = max(1, int(KEPT_SHARE * sum(len(group.rooms) for group in able)))
+            count = min(most - sum(group.kept for group in able), job.waiting_count())
+            if count <= 0:
+                continue
+            free = (
+                (-room.cpus, -room.memory, number, room, group)
+                for number, (room, group) in enumerate(
+                    (room, group) for group in able for room in group.rooms
+                )
+                if room.kept is None
+            )
+            for *_, room, group in heapq.nsmallest(count, free):
                 room.kept = Kept(job.ref, job.spec.priority, job.submitted)
+                group.kept += 1
 
     def _precedes(self, job: Job, kept: Kept) -> bool:
         """Work of a higher priority may use what is kept, until that has waited for very long."""
         return job.spec.priority > kept.priority and self._now - kept.submitted < KEPT_FROM_ALL_S
 
-    def _large_on(self, job: Job, room: Room) -> bool:
-        machine = room.machine
+    def _large_on(self, job: Job, machine: Machine) -> bool:
         return (
             machine.type.holds(job.spec)
             and machine.allowed(job.spec)
@@ -270,7 +300,7 @@
         age = Seconds(self._now - job.submitted)
         scores: dict[tuple[TypeName, bool, float], float] = {}
         found = []
-        rooms = self._rooms
+        rooms = self._open
         if len(rooms) > self._sample:
             rooms = self._rng.sample(rooms, self._sample)
         for number, room in enumerate(rooms):
