--- a/src/crosscleat/core/leader.py
+++ b/src/crosscleat/core/leader.py
@@ -52,9 +52,10 @@
     Zone,
 )
 from .jobs import STRETCH, Job, Placement, live_key, spec_of
+from .liveness import UNBROKEN_LEASES, Liveness
 from .model import Deployment, MachineType, Shape
 from .parting import Proposal, owner, parted, shares_of, view_of
-from .placements import NOWHERE, AttemptKey, Hold, Ledger, Machine
+from .placements import NOWHERE, UNKNOWN_TYPE, AttemptKey, Hold, Ledger, Machine
 from .records import DropRecords, WorkRecord, WorkRecords
 from .reports import ListedMachine, Report, TaskReport
 from .rounds import MOST_CHOICES, Round, fetch_time, troubled, within
@@ -69,25 +70,12 @@
 LAZY_WRITES = 4
 ENDS_WRITES = 6
 LIST_S = 10.0
+LIST_WAIT_S = 2.0
 SOON_LIST_S = 3.0
 LISTED_BY_S = 60.0
 SLOW_START_S = 2.0
 ROTATE_S = 3.0
-LIST_WAIT_S = 2.0
-CUT_OFF_SHARE = 0.1
-CUT_OFF_S = 2.0
-UNHEARD_S = 5.0
-LEAST_UNHEARD_S = 1.2
-UNHEARD_REPORTS = 25
-UNHEARD_TICKS = 10
 MOST_DIRECT_PAUSE_S = 48.0
-UNBROKEN_LEASES = 0.6
-MOST_PROBES = 6
-PROBE_S = 1.5
-MUTED_S = 20.0
-DEAF_S = 2.0
-MANY_SHARE = 0.1
-"""So many that fall silent did not all end, nor are so many deaf."""
 MOST_ORDERS = 300
 MOST_DROPS = 100
 PART_S = 0.4
@@ -95,7 +83,6 @@
 SUSPECT_JOBS = 2
 TOMBSTONE_S = 900.0
 DROP_KEPT_S = 120.0
-UNKNOWN_TYPE = MachineType(TypeName(""), 0.0, 0.0, 0.0, 0.0, 1.0, 0.0, 0.0, 0.0, ())
 
 
 class Leader:
@@ -141,11 +128,6 @@
         """Another term has begun or none: late answers must not act for this one."""
         self._lazy_flush = now
         self._kick: set[MachineId] = set()
-        self._muted: list[Seconds] = []
-        """When machines that were given up for their silence were deleted."""
-        self._unreached: set[MachineId] = set()
-        """Machines that we could not reach since we last reached or directly heard any."""
-        self._reached_at = now
         self._changed = True
         self._round_at = now
         self._full_round_at = now
@@ -156,12 +138,6 @@
         self._listing = False
         self._list_at = now
         self._listed_at = now
-        self._many_quiet = False
-        self._deaf = 0
-        """Machines that have taken up no orders for a while."""
-        self._deafened: list[Seconds] = []
-        """When sessions ended although we had answered."""
-        self._silent_ticks = 0
         self._rotate_wanted = False
         self._rotated_at = now
         self._part_number = 0
@@ -171,6 +147,7 @@
         """Owners whose last proposal came in time: the others are not waited for."""
         self._progress_sent: dict[JobRef, tuple[int, int]] = {}
         self.budget: Budget | None = None
+        self.liveness = Liveness(deployment, self.ledger, election, self.drop, self._ask, now)
 
     # Taking over
 
@@ -288,7 +265,7 @@
 
     def check_in(self, request: int, report: Report, now: Seconds, relayed: bool) -> None:
         if not relayed:
-            self._reached(now)
+            self.liveness.reached(now)
         token = self.election.token
         if token is None or now > self.renew_until():
             self.out.add(Answer(request, 503, retry_after_s=1))
@@ -306,7 +283,7 @@
             # Late, or repeated: the worker has given this one up and drops any answer.
             self.out.add(Answer(request, 503, retry_after_s=1))
             return
-        self._listen(machine, report, now)
+        self.liveness.listen(machine, report, now)
         self._apply(machine, report, now, check_in=True)
         if not machine.known:
             self._greet(machine)
@@ -320,40 +297,6 @@
         )
         self.out.add(Orders(request, token, tuple(orders)))
 
-    def _listen(self, machine: Machine, report: Report, now: Seconds) -> None:
-        """Whether the worker hears our answers, by what its new check-in shows of them.
-
-        A start in an answer is in the next report of the session, or the answer did not arrive.
-        And a session that ends although its reports were answered in time heard no answer.
-        """
-        # For a while, and until well within a lease: a cut may have taken the last answers.
-        most_s = UNBROKEN_LEASES * self.deployment.lease_s
-        answered = now - machine.answered_at < most_s < now - machine.answered_from
-        if report.seen.session > machine.seen.session:
-            if answered and machine.known:
-                self._deafened.append(now)
-                if not self._many(len(self._deafened)):
-                    self.drop(machine, "its lease ran out though we answered")
-            return
-        listed = {(task.task, task.attempt) for task in report.tasks}
-        missed = any(
-            hold.answered_at and not hold.withdrawn and key not in listed
-            for key, hold in machine.holds.items()
-        )
-        if not missed:
-            machine.deaf_since = None
-        elif machine.deaf_since is None:
-            machine.deaf_since = now
-        elif now - machine.deaf_since > self._silent_s() and not self._many(self._deaf):
-            self.drop(machine, "takes up no orders")
-
-    def _many(self, count: int) -> bool:
-        """So many at once can't all be at fault: we are, or the network."""
-        return count > max(2, MANY_SHARE * len(self.ledger.machines))
-
-    def _silent_s(self) -> float:
-        return self.knobs.silence_leases * self.deployment.lease_s
-
     def _machine_of(self, report: Report, now: Seconds) -> Machine:
         machine = self.ledger.machines.get(report.machine)
         if machine is None:
@@ -381,7 +324,7 @@
         """Take in a report newer than all before it."""
         later_session = report.seen.session > machine.seen.session
         machine.seen = report.seen
-        self._silent_ticks = 0
+        self.liveness.heard()
         if check_in:
             machine.checked = report.seen.tally
         elif later_session:
@@ -586,18 +529,6 @@
                 continue
             self._direct(machine, machine.seen.session, tuple(orders))
 
-    def _reached(self, now: Seconds) -> None:
-        self._unreached.clear()
-        self._reached_at = now
-
-    def _cut_off(self, machines: list[Machine], now: Seconds) -> bool:
-        """Followers hear the workers and we reach none: one of those would lead better."""
-        up = sum(1 for m in machines if m.up and not m.dropping)
-        return (
-            len(self._unreached) >= max(3, CUT_OFF_SHARE * up)
-            and now - self._reached_at > self.deployment.report_s + CUT_OFF_S
-        )
-
     def _greet(self, machine: Machine) -> None:
         """No orders: the answer brings the worker's report, and shows it our token."""
         if machine.direct_in_flight:
@@ -629,12 +560,12 @@
                 machine.direct_misses += 1
                 pause = min(MOST_DIRECT_PAUSE_S, 1.5 * 2.0**machine.direct_misses)
                 machine.direct_after = Seconds(self.now + pause)
-                self._unreached.add(machine.id)
+                self.liveness.missed(machine)
                 if perhaps:
                     machine.risk_token = max(machine.risk_token, risked)
                 return
             machine.direct_misses = 0
-            self._reached(self.now)
+            self.liveness.reached(self.now)
             if report.machine == machine.id:
                 self.hear_directly(report)
 
@@ -650,18 +581,10 @@
             self._apply(machine, report, self.now, check_in=False)
             machine.last_heard = self.now
 
-    def _probe(self, silent: Iterable[Machine], now: Seconds) -> None:
-        """Ask after machines that went silent: they may be between two controllers, or cut off
-        from us alone, and nothing but their silence speaks for their end."""
+    def _ask(self, machine: Machine) -> None:
+        """Ask after a silent machine, through the other controllers too."""
         token = self.election.token
-        asked = 0
-        for machine in silent:
-            if asked >= MOST_PROBES or token is None:
-                return
-            if machine.address is None or now - machine.probed_at < PROBE_S:
-                continue
-            asked += 1
-            machine.probed_at = now
+        if machine.address is not None and token is not None:
             self._greet(machine)
             self.out.add(Probe(machine.address, token, self._session_of(machine)))
 
@@ -709,43 +632,17 @@
             for hold in list(machine.holds.values()):
                 self._gone(machine, hold, now, None)
             if machine.mute:
-                self._muted.append(now)
+                self.liveness.given_up(now)
             self.ledger.machines.pop(machine.id, None)
             self.tombstones[machine.id] = now
             self._drops_done.append((now, machine.id))
 
     def _watch_machines(self, now: Seconds) -> None:
-        d = self.deployment
         machines = list(self.ledger.machines.values())
-        silent_s = self._silent_s()
-        # Those given up for their silence still count: else each that is given up would make
-        # the rest look like fewer, and a leader that is cut off would give up one after another.
-        heard = [now - m.last_heard for m in machines if m.up and (not m.dropping or m.mute)]
-        quiet_s = self._quiet_s()
-        # Those that are deleted by now count too, for a while.
-        self._muted = [at for at in self._muted if now - at < MUTED_S]
-        quiet = sum(1 for s in heard if s > quiet_s) + len(self._muted)
-        self._many_quiet = many = quiet > max(2, MANY_SHARE * (len(heard) + len(self._muted))) or (
-            len(heard) > 1 and min(heard) > 1.25 * d.report_s + 0.5
-        )
-        self._deafened = [at for at in self._deafened if now - at < MUTED_S]
-        deaf = (m for m in machines if m.up and not m.dropping and m.deaf_since is not None)
-        self._deaf = sum(1 for m in deaf if now - (m.deaf_since or now) > DEAF_S)
-        if self._deaf > max(2, 0.5 * len(heard)):
-            # Slow, or heard by none: our answers come too late or not at all.
-            self.election.resign("no worker hears us", rest_s=10.0)
-            return
-        # Ticks are counted too: a process that stood still has not listened.
-        self._silent_ticks += 1
-        unheard = len(heard) > 1 and self._silent_ticks >= UNHEARD_TICKS
-        if (unheard and min(heard) > self._unheard_s(len(heard))) or self._cut_off(machines, now):
-            # They live or die by who answers them: let one lead whom they can reach.
-            self.election.resign("no worker reaches us", rest_s=10.0)
+        self.liveness.watch(machines, now)
+        if self.retired:
             return
-        self._probe(
-            (m for m in machines if m.up and not m.dropping and now - m.last_heard > quiet_s),
-            now,
-        )
+        silent_s = self.liveness.silent_s
         for machine in machines:
             self._lease_run_out(machine, now)
             busy = bool(machine.holds or machine.exited or machine.strays)
@@ -756,9 +653,7 @@
             if machine.dropping:
                 continue
             if machine.up:
-                if now - machine.last_heard > silent_s and (
-                    not many or now - machine.last_heard > 2.0 * d.cancel_s
-                ):
+                if self.liveness.silent(machine, now):
                     machine.mute = True
                     self.drop(machine, f"silent for {now - machine.last_heard:.0f} s")
                 elif (machine.suspect or machine.recall_at is not None) and not machine.holds:
@@ -813,7 +708,7 @@
 
     def _miss(self, named: set[MachineId], now: Seconds) -> None:
         """What was listed stays listed until it is gone; a list may only be older than another."""
-        quiet_s = self._quiet_s()
+        quiet_s = self.liveness.quiet_s
         for machine in self.ledger.machines.values():
             if (
                 machine.listed
@@ -823,15 +718,6 @@
             ):
                 self.drop(machine, "no longer listed")
 
-    def _unheard_s(self, up: int) -> float:
-        """A silence of all machines in which so many reports are missing that we are at fault."""
-        expected = UNHEARD_REPORTS * self.deployment.report_s / up
-        return min(UNHEARD_S, max(LEAST_UNHEARD_S, expected))
-
-    def _quiet_s(self) -> float:
-        """A machine that was not heard for so long has missed a report."""
-        return 1.5 * self.deployment.report_s + 1.0
-
     def types_changed(self) -> None:
         """Prices moved: machines refer to their type as it was described last."""
         for machine in self.ledger.machines.values():
@@ -852,7 +738,7 @@
             self._purge(now)
             self._part_out(now)
         self._adjust_fleet(now)
-        if self._muted or self._many_quiet:
+        if self.liveness.doubtful:
             self._list_at = min(self._list_at, Seconds(self._listed_at + SOON_LIST_S))
         if not self._listing and now >= self._list_at:
             self._listed_at = now
--- /dev/null
+++ b/src/crosscleat/core/liveness.py
@@ -0,0 +1,185 @@
+"""Which machines still live and hear us, by their reports, their silence and what they answer.
+
+Silence proves nothing. It only decides whom to ask, whom to give up, and when another
+controller would lead better; what was placed on a machine is gone on proof alone (`placements`).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from .election import Election
+from .ids import MachineId, Seconds
+from .model import Deployment
+from .placements import Ledger, Machine
+from .reports import Report
+
+CUT_OFF_SHARE = 0.1
+CUT_OFF_S = 2.0
+UNHEARD_S = 5.0
+LEAST_UNHEARD_S = 1.2
+UNHEARD_REPORTS = 25
+UNHEARD_TICKS = 10
+UNBROKEN_LEASES = 0.6
+MOST_PROBES = 6
+PROBE_S = 1.5
+MUTED_S = 20.0
+DEAF_S = 2.0
+MANY_SHARE = 0.1
+"""So many that fall silent did not all end, nor are so many deaf."""
+REST_S = 10.0
+"""How long a leader that workers don't hear leaves the lead to others."""
+
+
+class Liveness:
+    def __init__(
+        self,
+        deployment: Deployment,
+        ledger: Ledger,
+        election: Election,
+        drop: Callable[[Machine, str], None],
+        ask: Callable[[Machine], None],
+        now: Seconds,
+    ) -> None:
+        self._deployment = deployment
+        self._ledger = ledger
+        self._election = election
+        self._drop = drop
+        self._ask = ask
+        self.silent_s = deployment.knobs.silence_leases * deployment.lease_s
+        self.quiet_s = 1.5 * deployment.report_s + 1.0
+        """A machine that was not heard for so long has missed a report."""
+        self._muted: list[Seconds] = []
+        """When machines that were given up for their silence were deleted."""
+        self._unreached: set[MachineId] = set()
+        """Machines that we could not reach since we last reached or directly heard any."""
+        self._reached_at = now
+        self._many_quiet = False
+        self._deaf = 0
+        """Machines that have taken up no orders for a while."""
+        self._deafened: list[Seconds] = []
+        """When sessions ended although we had answered."""
+        self._silent_ticks = 0
+
+    # What is heard
+
+    def heard(self) -> None:
+        """A newer report came, by whatever way."""
+        self._silent_ticks = 0
+
+    def reached(self, now: Seconds) -> None:
+        """A worker and we have reached each other with no other controller between."""
+        self._unreached.clear()
+        self._reached_at = now
+
+    def missed(self, machine: Machine) -> None:
+        """A direct message of ours had no answer."""
+        self._unreached.add(machine.id)
+
+    def given_up(self, now: Seconds) -> None:
+        """A machine was deleted for its silence."""
+        self._muted.append(now)
+
+    def listen(self, machine: Machine, report: Report, now: Seconds) -> None:
+        """Whether the worker hears our answers, by what its new check-in shows of them.
+
+        A start in an answer is in the next report of the session, or the answer did not arrive.
+        And a session that ends although its reports were answered in time heard no answer.
+        """
+        # For a while, and until well within a lease: a cut may have taken the last answers.
+        most_s = UNBROKEN_LEASES * self._deployment.lease_s
+        answered = now - machine.answered_at < most_s < now - machine.answered_from
+        if report.seen.session > machine.seen.session:
+            if answered and machine.known:
+                self._deafened.append(now)
+                if not self._many(len(self._deafened)):
+                    self._drop(machine, "its lease ran out though we answered")
+            return
+        listed = {(task.task, task.attempt) for task in report.tasks}
+        missed = any(
+            hold.answered_at and not hold.withdrawn and key not in listed
+            for key, hold in machine.holds.items()
+        )
+        if not missed:
+            machine.deaf_since = None
+        elif machine.deaf_since is None:
+            machine.deaf_since = now
+        elif now - machine.deaf_since > self.silent_s and not self._many(self._deaf):
+            self._drop(machine, "takes up no orders")
+
+    def _many(self, count: int) -> bool:
+        """So many at once can't all be at fault: we are, or the network."""
+        return count > max(2, MANY_SHARE * len(self._ledger.machines))
+
+    # What is not
+
+    @property
+    def doubtful(self) -> bool:
+        """Whether the cloud's list may soon tell of the end of machines that fell silent."""
+        return bool(self._muted) or self._many_quiet
+
+    def silent(self, machine: Machine, now: Seconds) -> bool:
+        """Whether to give it up: for its silence, and not when many are silent at once."""
+        silence = now - machine.last_heard
+        return silence > self.silent_s and (
+            not self._many_quiet or silence > 2.0 * self._deployment.cancel_s
+        )
+
+    def watch(self, machines: list[Machine], now: Seconds) -> None:
+        """Count who is silent or deaf, ask after them, and resign if it is our own fault."""
+        # Those given up for their silence still count: else each that is given up would make
+        # the rest look like fewer, and a leader that is cut off would give up one after another.
+        heard = [now - m.last_heard for m in machines if m.up and (not m.dropping or m.mute)]
+        # Those that are deleted by now count too, for a while.
+        self._muted = [at for at in self._muted if now - at < MUTED_S]
+        quiet = sum(1 for s in heard if s > self.quiet_s) + len(self._muted)
+        least = min(heard, default=0.0) if len(heard) > 1 else 0.0
+        self._many_quiet = (
+            quiet > max(2, MANY_SHARE * (len(heard) + len(self._muted)))
+            or least > 1.25 * self._deployment.report_s + 0.5
+        )
+        self._deafened = [at for at in self._deafened if now - at < MUTED_S]
+        deaf = (m for m in machines if m.up and not m.dropping and m.deaf_since is not None)
+        self._deaf = sum(1 for m in deaf if now - (m.deaf_since or now) > DEAF_S)
+        if self._deaf > max(2, 0.5 * len(heard)):
+            # Slow, or heard by none: our answers come too late or not at all.
+            self._election.resign("no worker hears us", rest_s=REST_S)
+            return
+        # Ticks are counted too: a process that stood still has not listened.
+        self._silent_ticks += 1
+        unheard = self._silent_ticks >= UNHEARD_TICKS and least > self._unheard_s(len(heard))
+        if unheard or self._cut_off(machines, now):
+            # They live or die by who answers them: let one lead whom they can reach.
+            self._election.resign("no worker reaches us", rest_s=REST_S)
+            return
+        self._probe(machines, now)
+
+    def _unheard_s(self, up: int) -> float:
+        """A silence of all machines in which so many reports are missing that we are at fault."""
+        expected = UNHEARD_REPORTS * self._deployment.report_s / max(1, up)
+        return min(UNHEARD_S, max(LEAST_UNHEARD_S, expected))
+
+    def _cut_off(self, machines: list[Machine], now: Seconds) -> bool:
+        """Followers hear the workers and we reach none: one of those would lead better."""
+        up = sum(1 for m in machines if m.up and not m.dropping)
+        return (
+            len(self._unreached) >= max(3, CUT_OFF_SHARE * up)
+            and now - self._reached_at > self._deployment.report_s + CUT_OFF_S
+        )
+
+    def _probe(self, machines: list[Machine], now: Seconds) -> None:
+        """Ask after machines that went silent: they may be between two controllers, or cut off
+        from us alone, and nothing but their silence speaks for their end."""
+        asked = 0
+        for machine in machines:
+            if (
+                asked < MOST_PROBES
+                and machine.up
+                and not machine.dropping
+                and now - machine.last_heard > self.quiet_s
+                and machine.address is not None
+                and now - machine.probed_at >= PROBE_S
+            ):
+                asked += 1
+                machine.probed_at = now
+                self._ask(machine)
--- a/src/crosscleat/core/placements.py
+++ b/src/crosscleat/core/placements.py
@@ -25,6 +25,7 @@
     Seen,
     Session,
     TaskId,
+    TypeName,
     Zone,
 )
 from .model import JobSpec, MachineType
@@ -32,6 +33,7 @@
 AttemptKey = tuple[TaskId, Attempt]
 
 NEVER_ANSWERED = Seconds(-math.inf)
+UNKNOWN_TYPE = MachineType(TypeName(""), 0.0, 0.0, 0.0, 0.0, 1.0, 0.0, 0.0, 0.0, ())
 NOWHERE = Zone("")
 """The zone of a machine that only a record has named so far."""
 
