Sockets divided by need: store and cloud have their own, clients get what is left

Now each kind has its part (app.Sockets), ours close after 2 s, a direct message that waited too long for a socket counts as never sent, and the backlog is as long as the table. Guard: test_size checks the sum for any limit.

--- a/src/crosscleat/adapters/http_server.py
+++ b/src/crosscleat/adapters/http_server.py
@@ -63,7 +63,7 @@
     async def start(self, address: str) -> None:
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
-        await loop.create_server(self._protocol, host, int(port), backlog=512)
+        await loop.create_server(self._protocol, host, int(port), backlog=self._most)
 
     def _protocol(self) -> Connection:
         if len(self._open) >= self._most:
--- a/src/crosscleat/adapters/worker_client.py
+++ b/src/crosscleat/adapters/worker_client.py
@@ -13,7 +13,10 @@
 from ..wire import workers as wire
 
 CONNECT_S = 0.8
-TIMEOUT_S = 2.0
+WAIT_S = 1.5
+"""For a socket of ours to become free, and the connection: what waits longer is never sent."""
+ANSWER_S = 2.0
+TIMEOUT_S = 4.0
 REPORTED = (200, 409)
 """The answers whose body is the worker's report."""
 
@@ -26,7 +29,9 @@
 class WorkerClient:
     def __init__(self, session: aiohttp.ClientSession) -> None:
         self._session = session
-        self._timeout = aiohttp.ClientTimeout(sock_connect=CONNECT_S)
+        self._timeout = aiohttp.ClientTimeout(
+            connect=WAIT_S, sock_connect=CONNECT_S, sock_read=ANSWER_S
+        )
 
     async def _post(self, address: str, body: bytes) -> tuple[int, bytes]:
         async with asyncio.timeout(TIMEOUT_S):
--- a/src/crosscleat/app.py
+++ b/src/crosscleat/app.py
@@ -8,8 +8,9 @@
 import os
 import signal
 from collections.abc import Awaitable, Callable, Coroutine
+from contextlib import AsyncExitStack
 from random import Random
-from typing import Any
+from typing import Any, NamedTuple
 
 import aiohttp
 
@@ -63,30 +64,58 @@
 
 TICK_S = 0.1
 USER_S = 4.0
-LISTEN_SHARE = 0.6
-"""The part of the sockets that users and workers may hold; the rest is for what we open."""
+KEEP_OPEN_S = 2.0
+"""How long a connection of ours that is not in use is kept: it holds a socket here and there."""
 NOT_NOW = (503, b"")
 
 log = logging.getLogger("crosscleat")
 
 
+class Sockets(NamedTuple):
+    """How the sockets that the platform allows are divided.
+
+    One controller that is left alone must hold all workers and users; and whatever hangs, among
+    those or among the workers that we address, neither store nor cloud may wait for a socket.
+    """
+
+    store: int
+    cloud: int
+    workers: int
+    """At work; as many again may be kept open for a moment."""
+    clients: int
+
+    @classmethod
+    def divide(cls, most: int, peers: int) -> Sockets:
+        store, cloud, workers = max(3, most // 20), max(2, most // 100), max(2, most // 16)
+        # Two to listen on, both ways between controllers and their next try; some for the system.
+        left = most - store - cloud - 2 * workers - 3 * peers - 2
+        return cls(store, cloud, workers, max(2, left - most // 32))
+
+
 class App:
-    def __init__(self, settings: Settings, knobs: Knobs, session: aiohttp.ClientSession) -> None:
+    def __init__(self, settings: Settings, knobs: Knobs, sockets: Sockets) -> None:
         params = settings.settings
         self._settings = settings
+        self._sockets = sockets
         self._rng = Random(os.urandom(16))
         boot = f"{self._rng.getrandbits(64):016x}"
         self._controller = Controller(settings.deployment(knobs), boot, self._rng)
+        self.sessions = [
+            _session(sockets.store),
+            _session(sockets.cloud),
+            _session(sockets.workers),
+        ]
+        store, cloud, workers = self.sessions
         self._state = StateClient(
-            session,
+            store,
             settings.endpoints.state,
             params.state.rps,
             params.state.write_rps,
             params.state.txn_ops,
             self._rng,
         )
-        self._cloud = CloudClient(session, settings.endpoints.cloud)
-        self._workers = WorkerClient(session)
+        self._cloud = CloudClient(cloud, settings.endpoints.cloud)
+        self._workers = WorkerClient(workers)
         self._health = Health(lambda: self._state.well, self._state.failing_s)
         self._links = {
             peer.member: Link(
@@ -116,9 +145,8 @@
         }
 
     async def run(self) -> None:
-        most = self._settings.settings.resources.max_sockets
         peers = PeerServer(set(self._links), self._answer_relay, self._health, self._told)
-        server = HttpServer(self._ask, self._check_in, self._ready, int(most * LISTEN_SHARE))
+        server = HttpServer(self._ask, self._check_in, self._ready, self._sockets.clients)
         await peers.start(self._settings.peer_bind)
         async with asyncio.TaskGroup() as group:
             group.create_task(self._state.run())
@@ -267,16 +295,24 @@
             self._links[member].send(peer_wire.Probed(body))
 
 
-async def _main(settings: Settings, knobs: Knobs) -> None:
-    most = settings.settings.resources.max_sockets
-    connector = aiohttp.TCPConnector(limit=max(8, most // 4), use_dns_cache=False)
-    async with aiohttp.ClientSession(
-        connector=connector,
+def _session(most: int) -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(
+            limit=most, use_dns_cache=False, keepalive_timeout=KEEP_OPEN_S
+        ),
         auto_decompress=False,
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
         cookie_jar=aiohttp.DummyCookieJar(),
-    ) as session:
-        await App(settings, knobs, session).run()
+    )
+
+
+async def _main(settings: Settings, knobs: Knobs) -> None:
+    most = settings.settings.resources.max_sockets
+    app = App(settings, knobs, Sockets.divide(most, len(settings.peers)))
+    async with AsyncExitStack() as open_:
+        for session in app.sessions:
+            await open_.enter_async_context(session)
+        await app.run()
 
 
 def run(settings: Settings, knobs: Knobs) -> None:
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -1,4 +1,4 @@
-"""With a thousand machines: how often each is looked at."""
+"""With a thousand machines: how often each is looked at, whom we address, whose the sockets are."""
 
 from __future__ import annotations
 
@@ -6,7 +6,10 @@
 from typing import Any
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
+from crosscleat.app import Sockets
 from crosscleat.core.fleet import Fleet, Space
 from crosscleat.core.ids import MachineId, Seconds, Team, Version, Zone
 from crosscleat.core.jobs import Job
@@ -75,3 +78,12 @@
     wanted = fleet.wanted(jobs, TEAMS, {}, machines, NOW)
     assert wanted is not None
     assert housed[0] <= JOBS * WITH_ROOM
+
+
+@given(st.integers(100, 100_000), st.integers(0, 8))
+def test_the_sockets_suffice_for_all_that_may_be_open_at_once(most: int, peers: int) -> None:
+    sockets = Sockets.divide(most, peers)
+    ours = sockets.store + sockets.cloud + 2 * sockets.workers
+    assert ours + 3 * peers + 2 + sockets.clients <= most
+    assert sockets.clients >= 0.6 * most - 3 * peers
+    assert min(sockets) >= 2
