A new leader greets machines a few at a time, and asks some before it takes itself for cut off

Machines new to a leader are greeted 30 in a tenth of a second, those with room first, not all at once.

--- a/src/crosscleat/core/leader.py
+++ b/src/crosscleat/core/leader.py
@@ -76,6 +76,8 @@
 SLOW_START_S = 2.0
 ROTATE_S = 3.0
 MOST_DIRECT_PAUSE_S = 48.0
+MOST_GREETED = 30
+"""In a tenth of a second."""
 MOST_ORDERS = 300
 MOST_DROPS = 100
 PART_S = 0.4
@@ -128,6 +130,7 @@
         """Another term has begun or none: late answers must not act for this one."""
         self._lazy_flush = now
         self._kick: set[MachineId] = set()
+        self._to_greet: deque[Machine] = deque()
         self._changed = True
         self._round_at = now
         self._full_round_at = now
@@ -147,7 +150,9 @@
         """Owners whose last proposal came in time: the others are not waited for."""
         self._progress_sent: dict[JobRef, tuple[int, int]] = {}
         self.budget: Budget | None = None
-        self.liveness = Liveness(deployment, self.ledger, election, self.drop, self._ask, now)
+        self.liveness = Liveness(
+            deployment, self.ledger, election, self.drop, self._greet, self._ask, now
+        )
 
     # Taking over
 
@@ -285,8 +290,9 @@
             return
         self.liveness.listen(machine, report, now)
         self._apply(machine, report, now, check_in=True)
+        self.liveness.checked_in(now)
         if not machine.known:
-            self._greet(machine)
+            self._to_greet.append(machine)
         orders = self._orders(machine, now, report.seen.tally)
         if now - machine.answered_at > UNBROKEN_LEASES * self.deployment.lease_s:
             # Reports held up in a cut come all at once, long after their workers gave them up.
@@ -529,6 +535,16 @@
                 continue
             self._direct(machine, machine.seen.session, tuple(orders))
 
+    def _greet_some(self) -> None:
+        """A new leader greets all machines, a few at a time: hundreds of messages at once would
+        keep its own renewal and the first starts waiting."""
+        greeted = 0
+        while self._to_greet and greeted < MOST_GREETED:
+            machine = self._to_greet.popleft()
+            if not (machine.up and machine.known) and machine.id in self.ledger.machines:
+                greeted += 1
+                self._greet(machine)
+
     def _greet(self, machine: Machine) -> None:
         """No orders: the answer brings the worker's report, and shows it our token."""
         if machine.direct_in_flight:
@@ -689,6 +705,7 @@
             return
         now = self.now
         self._miss({entry.id for entry in machines}, now)
+        unheard = []
         for entry in machines:
             if entry.id in self.tombstones:
                 continue
@@ -702,9 +719,11 @@
             machine.born = min(machine.born, Seconds(now - entry.age_s))
             if not machine.up and entry.state == "running":
                 # Not heard of in this term: ask, rather than wait for its next check-in.
-                self._greet(machine)
+                unheard.append(machine)
             if entry.state == "failed":
                 self.drop(machine, "failed")
+        # First those with the most room: work may wait for it.
+        self._to_greet.extend(sorted(unheard, key=lambda m: m.used_cpus))
 
     def _miss(self, named: set[MachineId], now: Seconds) -> None:
         """What was listed stays listed until it is gone; a list may only be older than another."""
@@ -732,6 +751,7 @@
         self._watch_machines(now)
         if self.retired:
             return
+        self._greet_some()
         if now >= self._full_round_at:
             self._full_round_at = Seconds(now + self.knobs.round_s)
             self._changed = True
--- a/src/crosscleat/core/liveness.py
+++ b/src/crosscleat/core/liveness.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import heapq
 from collections.abc import Callable
 
 from .election import Election
@@ -20,6 +21,7 @@
 LEAST_UNHEARD_S = 1.2
 UNHEARD_REPORTS = 25
 UNHEARD_TICKS = 10
+ASK_SHARE = 0.4
 UNBROKEN_LEASES = 0.6
 MOST_PROBES = 6
 PROBE_S = 1.5
@@ -38,6 +40,7 @@
         ledger: Ledger,
         election: Election,
         drop: Callable[[Machine, str], None],
+        greet: Callable[[Machine], None],
         ask: Callable[[Machine], None],
         now: Seconds,
     ) -> None:
@@ -45,6 +48,7 @@
         self._ledger = ledger
         self._election = election
         self._drop = drop
+        self._greet = greet
         self._ask = ask
         self.silent_s = deployment.knobs.silence_leases * deployment.lease_s
         self.quiet_s = 1.5 * deployment.report_s + 1.0
@@ -60,9 +64,17 @@
         self._deafened: list[Seconds] = []
         """When sessions ended although we had answered."""
         self._silent_ticks = 0
+        """Ticks since any report came; those of a process that stood still are few."""
+        self._checked_in_at = now
+        self._lonely_ticks = 0
 
     # What is heard
 
+    def checked_in(self, now: Seconds) -> None:
+        """A check-in came, to us or through another controller."""
+        self._checked_in_at = now
+        self._lonely_ticks = 0
+
     def heard(self) -> None:
         """A newer report came, by whatever way."""
         self._silent_ticks = 0
@@ -147,11 +159,24 @@
             return
         # Ticks are counted too: a process that stood still has not listened.
         self._silent_ticks += 1
-        unheard = self._silent_ticks >= UNHEARD_TICKS and least > self._unheard_s(len(heard))
-        if unheard or self._cut_off(machines, now):
+        self._lonely_ticks += 1
+        unheard_s = self._unheard_s(len(heard))
+        unheard = self._silent_ticks >= UNHEARD_TICKS and least > unheard_s
+        lonely = (
+            self._lonely_ticks >= UNHEARD_TICKS
+            and len(heard) > 1
+            and now - self._checked_in_at > self.silent_s
+        )
+        if unheard or lonely or self._cut_off(machines, now):
             # They live or die by who answers them: let one lead whom they can reach.
             self._election.resign("no worker reaches us", rest_s=REST_S)
             return
+        if least > ASK_SHARE * unheard_s:
+            # All of them may have been with a controller that ended, and take some seconds to
+            # find another one: if they answer us, they will.
+            up = (m for m in machines if m.up and not m.dropping)
+            for machine in heapq.nlargest(MOST_PROBES, up, key=lambda m: m.last_heard):
+                self._greet(machine)
         self._probe(machines, now)
 
     def _unheard_s(self, up: int) -> float:
