World test: controllers that stand still or are slow, zones cut off, many machines at once, a roll

A process that stands still takes up what came once it goes on, and may do so between a decision and what follows from it; users of the world no longer wait longer than the protocol's users do.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -147,8 +147,44 @@
     def hang(self, which: int, seconds: float) -> None:
         names = sorted(self.world.workers)
         if names:
-            worker = self.world.workers[names[which % len(names)]]
-            worker.hung_until = self.world.clock.now + seconds
+            self.world.workers[names[which % len(names)]].hang(seconds)
+
+    @rule(seconds=st.sampled_from((3.0, 12.0)), again=st.booleans())
+    def many_machines(self, seconds: float, again: bool) -> None:
+        """Every other machine hangs, or loses power and is back at once."""
+        for name in sorted(self.world.workers)[::2]:
+            worker = self.world.workers[name]
+            if again and not worker.gone:
+                worker.restart()
+            else:
+                worker.hang(seconds)
+
+    @rule(member=members, seconds=st.sampled_from((2.0, 9.0, 25.0)), deciding=st.booleans())
+    def stand_still(self, member: str, seconds: float, deciding: bool) -> None:
+        """Its clocks run on; `deciding`: between a decision and what follows from it."""
+        process = self.world.processes[member]
+        if process is not None and deciding:
+            process.stalls_s = seconds
+        else:
+            self.world.freeze(member, seconds)
+
+    @rule(member=members, cost_s=st.sampled_from((0.0, 0.02, 0.08)))
+    def slow(self, member: str, cost_s: float) -> None:
+        process = self.world.processes[member]
+        if process is not None:
+            process.cost_s = cost_s
+
+    @rule(mode=st.sampled_from(("hold", "reset")), zone=st.sampled_from(ZONES))
+    def cut_zone(self, mode: str, zone: str) -> None:
+        self.world.cut_zone(zone, mode)
+
+    @rule(apart_s=st.sampled_from((0.1, 3.0)), back_s=st.sampled_from((0.1, 2.0)))
+    def roll(self, apart_s: float, back_s: float) -> None:
+        """All controllers, one after the other, amid late copies of reports."""
+        self.world.copies = 0.6
+        for member in MEMBERS:
+            self.world.crash(member, back_s)
+            self.world.clock.advance(apart_s)
 
     @rule(which=st.integers(0, 30))
     def die(self, which: int) -> None:
@@ -177,6 +213,9 @@
         world.flaky = world.copies = 0.0
         world.no_direct.clear()
         world.network.heal()
+        for process in world.processes.values():
+            if process is not None:
+                process.cost_s = process.stalls_s = 0.0
         world.store.out_until = 0.0
         world.store.refuses.clear()
         over = world.clock.now
--- a/tests/world.py
+++ b/tests/world.py
@@ -63,9 +63,13 @@
 LEASE_S = 10.0
 CANCEL_S = 30.0
 TICK_S = 0.2
+USER_WAITS_S = 2.0
+SUBMITTER_WAITS_S = 5.0
 REGION = "region"
 ZONES = ("a", "b")
 MEMBERS = ("c0", "c1", "c2")
+HOMES = ("a", "b", "c")
+"""The controllers' zones."""
 
 TYPES = [
     MachineType(
@@ -325,6 +329,9 @@
     def hung(self) -> bool:
         return self.world.clock.now < self.hung_until
 
+    def hang(self, seconds: float) -> None:
+        self.hung_until = self.world.clock.now + seconds
+
     def when_awake(self, act: Callable[[], None]) -> None:
         """A hanging machine does nothing now and everything later."""
         if self.gone:
@@ -450,6 +457,12 @@
     controller: Controller
     alive: bool = True
     drift: float = 1.0
+    free_at: float = 0.0
+    """Until then it stands still, or is busy with what came before."""
+    cost_s: float = 0.0
+    """What it takes for each input."""
+    stalls_s: float = 0.0
+    """How long it will stand still right after its next decision, before that is carried out."""
     requests: dict[int, Callable[[Any], None]] = field(default_factory=dict)
 
 
@@ -483,6 +496,16 @@
             self.begin(member)
         self.clock.after(0.5, self.patrol)
 
+    def cut_zone(self, zone: str, mode: str) -> None:
+        """Nothing passes between the zone and all that is outside; inside it all goes on."""
+        inside = [m for m, home in zip(MEMBERS, HOMES, strict=True) if home == zone]
+        inside += [w.id for w in self.workers.values() if w.zone == zone]
+        others = [*MEMBERS, *self.workers, REGION]
+        for one in inside:
+            for other in others:
+                if other not in inside:
+                    self.network.cut(one, other, mode)
+
     # Controllers
 
     def begin(self, member: str) -> None:
@@ -512,14 +535,44 @@
     def tick(self, member: str, process: Process) -> None:
         if process.alive:
             self.feed(member, process, Tick())
-            self.clock.after(TICK_S, lambda: self.tick(member, process))
+            # Timers that ran out while it stood still, or was busy, fire once.
+            pause = max(TICK_S, process.free_at - self.clock.now)
+            self.clock.after(pause, lambda: self.tick(member, process))
 
     def feed(self, member: str, process: Process, given: Any) -> None:
+        """An input; one that stands still or is slow takes it up later, in the order they came."""
+        if process.cost_s or self.clock.now < process.free_at:
+            begins = max(self.clock.now, process.free_at)
+            process.free_at = begins + process.cost_s
+            wait = process.free_at - self.clock.now
+            self.clock.after(wait, lambda: self.take_up(member, process, given))
+        else:
+            self.take_up(member, process, given)
+
+    def take_up(self, member: str, process: Process, given: Any) -> None:
         if not process.alive:
             return
         now = Seconds(self.clock.now * process.drift)
-        for effect in process.controller.step(given, now, WallTime(self.clock.now)):
-            self.carry_out(member, process, effect)
+        effects = process.controller.step(given, now, WallTime(self.clock.now))
+        stalls, process.stalls_s = process.stalls_s, 0.0
+        if stalls and effects:
+            # What it has just decided leaves only when it goes on, whatever has happened since.
+            self.freeze(member, stalls)
+            self.clock.after(stalls, lambda: self.carry_out_all(member, process, effects))
+        else:
+            process.stalls_s = stalls
+            self.carry_out_all(member, process, effects)
+
+    def carry_out_all(self, member: str, process: Process, effects: list[fx.Effect]) -> None:
+        if process.alive:
+            for effect in effects:
+                self.carry_out(member, process, effect)
+
+    def freeze(self, member: str, seconds: float) -> None:
+        """It stands still while its clocks run on; what arrives waits for it."""
+        process = self.processes[member]
+        if process is not None:
+            process.free_at = max(process.free_at, self.clock.now + seconds)
 
     def ask(self, member: str, make: Callable[[int], Any], then: Callable[[Any], None]) -> None:
         """A request that reached a controller; without an answer, `then` is not called."""
@@ -858,8 +911,11 @@
 
     def submit(self, spec: JobSpec, tries: int = 20) -> None:
         self.specs[spec.ref] = spec
+        sent = self.clock.now
 
         def answered(answer: fx.Answer) -> None:
+            if self.clock.now - sent > SUBMITTER_WAITS_S:
+                return
             if answer.status in (200, 201):
                 self.accepted.add(spec.ref)
                 if answer.body["status"] in ("done", "aborted"):
@@ -887,8 +943,11 @@
     def poll(self, ref: str) -> None:
         # As of now: a poll under way while the job is accepted may still find nothing.
         known = ref in self.accepted
+        sent = self.clock.now
 
         def answered(answer: fx.Answer) -> None:
+            if self.clock.now - sent > USER_WAITS_S:
+                return
             if answer.status in (200, 404):
                 self.answered[ref] = self.clock.now
             if answer.status == 404 and known:
@@ -908,8 +967,11 @@
 
     def cancel(self, ref: str, tries: int = 30) -> None:
         self.cancel_asked.add(ref)
+        sent = self.clock.now
 
         def answered(answer: fx.Answer) -> None:
+            if self.clock.now - sent > USER_WAITS_S:
+                return
             if answer.status == 200:
                 assert answer.body["status"] in ("done", "aborted")
                 self.hear_final(ref, answer.body["status"])
