Reports of an earlier life of a machine prove nothing; repeated direct starts are reckoned with

A machine in its third session lost power and counted from 1 again; a copy of its old report came late, looked like a later session and freed what ran there. A report that is newer and shows a lower token than we saw is of another life and is now ignored; a later session proves tasks gone only with a token of this term.

--- a/src/crosscleat/core/ids.py
+++ b/src/crosscleat/core/ids.py
@@ -55,6 +55,7 @@
 NEVER = Seen(Session(0), 0)
 LONG_AGO = Seconds(0.0)
 ABSENT = Version(0)
+NO_TOKEN = Token(0)
 
 
 def is_job_ref(text: str) -> bool:
--- a/src/crosscleat/core/leader.py
+++ b/src/crosscleat/core/leader.py
@@ -39,6 +39,8 @@
 from .election import Election
 from .fleet import Fleet, PoolKey, Wanted
 from .ids import (
+    NO_TOKEN,
+    Attempt,
     JobRef,
     MachineId,
     Member,
@@ -284,7 +286,7 @@
             self.out.add(Answer(request, 503, retry_after_s=1))
             return
         machine = self._machine_of(report, now)
-        if report.seen <= machine.seen:
+        if self._outdated(machine, report):
             # Late, or repeated: the worker has given this one up and drops any answer.
             self.out.add(Answer(request, 503, retry_after_s=1))
             return
@@ -303,6 +305,15 @@
         )
         self.out.add(Orders(request, token, tuple(orders)))
 
+    def _outdated(self, machine: Machine, report: Report) -> bool:
+        """Not newer than what we know of the machine.
+
+        A worker's highest token never falls while its sessions and tallies rise. A report that is
+        newer by those and shows a lower token than we saw is of another life of that machine:
+        an old copy from before it lost power, or one that has begun anew.
+        """
+        return report.seen <= machine.seen or report.token < machine.shown_token
+
     def _machine_of(self, report: Report, now: Seconds) -> Machine:
         machine = self.ledger.machines.get(report.machine)
         if machine is None:
@@ -345,14 +356,24 @@
         if later_session:
             # A session's lease also runs from its beginning, answered or not.
             machine.last_answer = max(machine.last_answer, now)
-            for hold in self.ledger.before_session(machine, report.seen.session):
-                self._gone(machine, hold, now, None)
             machine.exited.clear()
             machine.strays.clear()
+            machine.direct_starts.clear()
+        if report.token >= self.began_token:
+            # Without our token it may be a copy from before the machine lost power and began to
+            # count anew: what was placed there since is in an earlier session, and runs.
+            for hold in self.ledger.before_session(machine, report.seen.session):
+                self._gone(machine, hold, now, None)
         listed = {(task.task, task.attempt): task for task in report.tasks}
         machine.exited = {
             key: task.cause or "" for key, task in listed.items() if task.state == reports.EXITED
         }
+        if len(machine.direct_starts) > 2 * len(listed) + 20:
+            machine.direct_starts = {
+                key: token
+                for key, token in machine.direct_starts.items()
+                if key in listed or key in machine.holds
+            }
         machine.strays = {
             key
             for key, task in listed.items()
@@ -501,7 +522,10 @@
         """
         if machine.direct_in_flight:
             return False
-        if machine.shown_token <= machine.risk_token:
+        # A direct start may come twice even if it was answered. A result is kept, so a task that
+        # is done can be started again without harm.
+        repeated = NO_TOKEN if machine.exited[key] == "done" else machine.direct_starts.get(key)
+        if machine.shown_token <= max(machine.risk_token, repeated or NO_TOKEN):
             self._want_rotation(machine)
             return False
         task, attempt = key
@@ -561,8 +585,12 @@
             return
         # Lost orders other than starts can do no harm later, so they put no token at risk.
         machine.direct_in_flight = True
-        risky = any(isinstance(order, StartOrder) for order in orders)
-        done = self._direct_done(machine, token if risky else Token(0))
+        starts = [order for order in orders if isinstance(order, StartOrder)]
+        for order in starts:
+            task = TaskId.parse(order.task)
+            if task is not None:
+                machine.direct_starts[task, Attempt(order.attempt)] = token
+        done = self._direct_done(machine, token if starts else NO_TOKEN)
         self.out.add(Direct(machine.address, token, session, orders, done))
 
     def _direct_done(
@@ -592,7 +620,7 @@
         machine = self.ledger.machines.get(report.machine)
         if report.token > (self.election.token or 0):
             self.election.resign("a worker has seen a higher token")
-        elif machine is not None and report.seen > machine.seen:
+        elif machine is not None and not self._outdated(machine, report):
             self._describe(machine, report.type, report.zone, report.spot)
             self._apply(machine, report, self.now, check_in=False)
             machine.last_heard = self.now
--- a/src/crosscleat/core/placements.py
+++ b/src/crosscleat/core/placements.py
@@ -25,6 +25,7 @@
     Seen,
     Session,
     TaskId,
+    Token,
     TypeName,
     Zone,
 )
@@ -107,6 +108,8 @@
     used_cpus: float = 0.0
     used_gpus: float = 0.0
     used_memory: float = 0.0
+    direct_starts: dict[AttemptKey, Token] = field(default_factory=dict)
+    """Attempts of this session whose start was sent directly, and with which token."""
     strays: set[AttemptKey] = field(default_factory=set)
     """Attempts at work on it that no record knows: to be stopped."""
     known: bool = False
--- a/tests/test_unheard.py
+++ b/tests/test_unheard.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
-from crosscleat.core.effects import Answer, DeleteMachines, Direct, Orders
+from crosscleat.core.effects import Answer, ClearOrder, DeleteMachines, Direct, Orders
 from crosscleat.core.ids import (
+    Attempt,
+    JobRef,
     MachineId,
+    TaskId,
     Team,
+    Token,
     Zone,
 )
 from crosscleat.core.placements import Machine
-from crosscleat.core.reports import ListedMachine
+from crosscleat.core.reports import ListedMachine, TaskReport
 
 from .term import TOKEN, Term, held
 from .world import LEASE_S, MEMBERS, TYPES, World, at_work, job
@@ -207,6 +212,53 @@
     assert not worker.gone and held <= set(worker.tasks)
 
 
+def test_a_copy_from_before_a_machine_began_anew_proves_nothing_gone() -> None:
+    # It had come to session 3, lost power, and counts from 1 again; a task was placed there since.
+    term = Term(*held(session=1))
+    term.hear((1, 9))
+    machine = term.leader.ledger.machines[MachineId("m-0")]
+    assert machine.holds
+    assert term.hear((3, 52), token=TOKEN - 1) == [Answer(1, 503, None, 1)]
+    assert machine.holds
+
+
+def test_a_later_session_proves_the_end_of_tasks_once_it_shows_our_token() -> None:
+    term = Term(*held(session=1))
+    term.hear((3, 52), token=TOKEN - 1)
+    machine = term.leader.ledger.machines[MachineId("m-0")]
+    assert machine.holds, "it may be a copy from before the machine lost power"
+    term.step(0.5)
+    term.hear((3, 53))
+    assert not machine.holds
+
+
+@pytest.mark.parametrize(("cause", "cleared"), [("done", True), ("error", False)])
+def test_what_was_started_directly_is_not_cleared_while_a_repeat_could_start_it_again(
+    cause: str, cleared: bool
+) -> None:
+    term = Term(*held(session=1))
+    term.hear((1, 1))
+    machine = term.leader.ledger.machines[MachineId("m-0")]
+    term.leader._kick.add(machine.id)
+    term.leader.settle(term.now)
+    (start,) = [e for e in term.out.take() if isinstance(e, Direct) and e.orders]
+    task = TaskReport(TaskId(JobRef("job-1"), 0), Attempt(1), "running", None)
+    start.then(term.report("m-0", (1, 2), tasks=(task,)), True)
+    # The store has it no longer; only what may still be on its way speaks against clearing.
+    ended = msgspec.structs.replace(task, state="exited", cause=cause)
+    term.hear((1, 3), tasks=(ended,))
+    for stretch in term.leader.jobs[JobRef("job-1")].stretches.values():
+        stretch.recorded = frozenset()
+    (answer,) = term.hear((1, 4), tasks=(ended,))
+    assert isinstance(answer, Orders)
+    assert any(isinstance(order, ClearOrder) for order in answer.orders) == cleared
+    # A higher token rules the repeat out.
+    term.leader.election.token = Token(TOKEN + 5)
+    (answer,) = term.hear((1, 5), token=TOKEN + 5, tasks=(ended,))
+    assert isinstance(answer, Orders)
+    assert any(isinstance(order, ClearOrder) for order in answer.orders)
+
+
 def busy_term(machines: int) -> Term:
     """A leader to which many machines have reported; what it sent meanwhile is forgotten."""
     term = Term()
