--- /dev/null
+++ b/tests/test_worker_client.py
@@ -0,0 +1,50 @@
+"""Direct messages when sockets are short."""
+
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from crosscleat.adapters import worker_client
+from crosscleat.adapters.worker_client import WorkerClient
+from crosscleat.core.effects import Direct
+from crosscleat.core.ids import Session, Token
+
+from .standins import serve
+
+
+def test_a_message_that_finds_no_socket_in_time_was_never_sent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Taken for one that may still arrive, its start would keep its place until the token rotates.
+    monkeypatch.setattr(worker_client, "WAIT_S", 0.1)
+
+    async def run() -> None:
+        arrived = asyncio.Event()
+        go_on = asyncio.Event()
+        came = []
+
+        async def hang(request: web.Request) -> web.Response:
+            came.append(request)
+            arrived.set()
+            await go_on.wait()
+            return web.Response(status=503)
+
+        app = web.Application()
+        app.add_routes([web.post("/do", hang)])
+        address = await serve(app)
+        call = Direct(address, Token(1), Session(1), (), lambda _report, _perhaps: None)
+        connector = aiohttp.TCPConnector(limit=1)
+        async with aiohttp.ClientSession(connector=connector) as session:
+            client = WorkerClient(session)
+            first = asyncio.create_task(client.direct(call))
+            await arrived.wait()
+            assert await client.direct(call) == (None, False)
+            assert len(came) == 1
+            go_on.set()
+            assert await first == (None, True)
+
+    asyncio.run(run())
