--- a/src/crosscleat/core/fleet.py
+++ b/src/crosscleat/core/fleet.py
@@ -93,6 +93,11 @@
     return int(min((room / need for need, room in parts if need > 0), default=1e6) + 1e-9)
 
 
+def ordinary(machines: Iterable[Machine]) -> float:
+    """CPUs of those that are not taken back."""
+    return sum(m.type.cpus for m in machines if not m.spot)
+
+
 class Demand:
     """CPUs asked for over the last while: what the warm room is sized by."""
 
@@ -146,6 +151,8 @@
         self._pools: dict[PoolKey, Pool] = {}
         self.types: dict[TypeName, MachineType] = {}
         self.demand = Demand()
+        self.risky = Demand()
+        """Of jobs that a loss may make late: ordinary machines are kept for it."""
 
     def pool(self, key: PoolKey) -> Pool:
         return self._pools.setdefault(key, Pool())
@@ -175,6 +182,7 @@
         team_cpus: dict[str, float],
         machines: Iterable[Machine],
         now: Seconds,
+        risky_cpus: float = 0.0,
     ) -> Wanted | None:
         """The one batch to rent now, if any."""
         waiting = sorted(
@@ -214,6 +222,7 @@
             if count > 0:
                 homeless.append((job, count))
         self.demand.sample(current, now)
+        self.risky.sample(risky_cpus, now)
         capacity = sum(m.type.cpus for m in usable)
         lacking = sum(count * job.spec.cpus for job, count in homeless)
         # Far more than there is room for, as at the start of a day: no burst passes so quickly.
@@ -221,7 +230,11 @@
         pressing = [
             (job, count) for job, count in homeless if flooded or self._pressing(job, usable, now)
         ]
-        return self._for_tasks(pressing, now) or self._warm_room(capacity, now)
+        return (
+            self._for_tasks(pressing, now)
+            or self._warm_room(capacity, now)
+            or self._safe_room(self.risky.usual(now) - ordinary(usable), now)
+        )
 
     def _for_tasks(self, homeless: list[tuple[Job, int]], now: Seconds) -> Wanted | None:
         """Machines of one pool for all the tasks that are best housed there."""
@@ -244,8 +257,16 @@
 
         Dear ones only make up for what cheap ones can't hold of the mean, without its swings.
         """
-        found = self._cheapest(self.target_cpus() - capacity, now, dear=False)
-        return found or self._cheapest(self.demand.usual(now) - capacity, now, dear=True)
+        found = self._cheapest(
+            self.target_cpus() - capacity, now, lambda kind, key: not self.dear(kind, key.spot)
+        )
+        return found or self._cheapest(
+            self.demand.usual(now) - capacity, now, lambda kind, key: self.dear(kind, key.spot)
+        )
+
+    def _safe_room(self, cpus: float, now: Seconds) -> Wanted | None:
+        """Ordinary machines for what usually waits or runs of work that a loss may make late."""
+        return self._cheapest(cpus, now, lambda _, key: not key.spot)
 
     def _pressing(self, job: Job, usable: list[Machine], now: Seconds) -> bool:
         """Whether it has waited too long for room, or none of the machines can ever have it."""
@@ -288,13 +309,15 @@
         """The age from which renting such a machine can't complete the job's tasks on time."""
         return self._due(spec) - self._run_s(spec) - kind.boot_s - fetch_time(spec, kind)
 
-    def _cheapest(self, cpus: float, now: Seconds, dear: bool) -> Wanted | None:
+    def _cheapest(
+        self, cpus: float, now: Seconds, suits: Callable[[MachineType, PoolKey], bool]
+    ) -> Wanted | None:
         options = [
             (kind.price_for(key.spot) / max(kind.cpus, 1e-9), kind.cpus, key)
             for kind in self.types.values()
             if 0.0 < kind.cpus <= 2.0 * cpus
             for key in self._pools_of(kind)
-            if self.pool(key).open(now) and self.dear(kind, key.spot) == dear
+            if self.pool(key).open(now) and suits(kind, key)
         ]
         if not options:
             return None
@@ -315,13 +338,17 @@
         found = []
         usual = self.demand.usual(now)
         warm = self.target_cpus()
+        safe = ordinary(usable) - self.risky.usual(now)
         for machine in idle:
             dear = self.dear(machine.type, machine.spot)
             target = usual if dear else warm
             patience = DEAR_IDLE_S if dear else self._knobs.idle_return_s
             rested = now - (machine.idle_since or now) >= patience
             paid = now - machine.born >= LEAST_CHARGE_S
+            if not machine.spot and safe < machine.type.cpus:
+                continue
             if rested and paid and capacity - machine.type.cpus >= target:
                 capacity -= machine.type.cpus
+                safe -= 0.0 if machine.spot else machine.type.cpus
                 found.append(machine)
         return found
--- a/src/crosscleat/core/jobs.py
+++ b/src/crosscleat/core/jobs.py
@@ -92,6 +92,8 @@
     failed_on: set[MachineId] = field(default_factory=set)
     succeeded: bool = False
     stretches: dict[int, Stretch] = field(default_factory=dict)
+    at_risk: bool = False
+    """The loss of a cheap machine may well make it late (`losses`)."""
     settling: bool = False
     """Its end is being written, or its live record changed under a write of ours."""
 
--- a/src/crosscleat/core/leader.py
+++ b/src/crosscleat/core/leader.py
@@ -55,6 +55,7 @@
 )
 from .jobs import STRETCH, Job, Placement, live_key, spec_of
 from .liveness import UNBROKEN_LEASES, Liveness
+from .losses import Losses
 from .model import Deployment, MachineType, Shape
 from .parting import Proposal, owner, parted, shares_of, view_of
 from .placements import NOWHERE, UNKNOWN_TYPE, AttemptKey, Hold, Ledger, Machine
@@ -117,6 +118,7 @@
         self.scorer = Scorer(deployment, self.run_times)
         self.fleet = Fleet(deployment.knobs, self.scorer.due, self.scorer.run_s)
         self.fleet.types = types
+        self.losses = Losses()
         self.watched = now
         """When the watch that last answered was opened: no cancellation before it is unknown."""
         self.tombstones: dict[MachineId, Seconds] = {}
@@ -139,6 +141,7 @@
         self._first = False
         self._renting = False
         self._rent_number = 0
+        self._judged_at = now
         self._rent_at = now
         self._listing = False
         self._list_at = now
@@ -238,6 +241,7 @@
             if job is None:
                 job = self.jobs[ref] = self._read_job(change, now)
                 self.fleet.demand.arrived(job, now)
+                job.at_risk = self.losses.at_risk(job, self.scorer, now)
                 self._changed = True
                 if change.value["aborted"]:
                     self._abort(job)
@@ -386,6 +390,7 @@
         # Last: what is withdrawn and not listed counts as gone, so the list must be this report's.
         if report.notice_s is not None and machine.recall_at is None:
             machine.recall_at = Seconds(now + report.notice_s)
+            self.losses.taken()
             self._evacuate(machine, report.notice_s, now)
 
     def _restarted(self, machine: Machine, report: Report) -> bool:
@@ -677,6 +682,8 @@
                 self._gone(machine, hold, now, None)
             if machine.mute:
                 self.liveness.given_up(machine, now)
+                if machine.spot:
+                    self.losses.taken()
             self.ledger.machines.pop(machine.id, None)
             self.tombstones[machine.id] = now
             self._drops_done.append((now, machine.id))
@@ -942,6 +949,7 @@
     def _adjust_fleet(self, now: Seconds) -> None:
         if now < self._rent_at or not self.fleet.types or not self.may_start(now):
             return
+        self._judge_risks(now)
         self._rent_at = Seconds(now + 1.0)
         machines = list(self.ledger.machines.values())
         rate = sum(m.type.price_for(m.spot) for m in machines) / 3600.0
@@ -950,7 +958,7 @@
         self.budget.charge(rate, now)
         jobs = [j for j in self.jobs.values() if not j.aborted]
         wanted = self.fleet.wanted(
-            jobs, self.deployment.teams, self.ledger.team_cpus, machines, now
+            jobs, self.deployment.teams, self.ledger.team_cpus, machines, now, self._risky_cpus()
         )
         if wanted is not None and not self._renting and self._heard_of_fleet(now):
             more = self._rate(wanted)
@@ -960,6 +968,21 @@
         for machine in self.fleet.returnable(machines, now):
             self.drop(machine, "idle")
 
+    def _judge_risks(self, now: Seconds) -> None:
+        """Once a second, whose tasks had better not be lost; which may change with their age."""
+        cheap = sum(1 for m in self.ledger.machines.values() if m.up and m.spot)
+        self.losses.passed(min(1.0, now - self._judged_at), cheap)
+        self._judged_at = now
+        for job in self.jobs.values():
+            job.at_risk = not job.aborted and self.losses.at_risk(job, self.scorer, now)
+
+    def _risky_cpus(self) -> float:
+        return sum(
+            job.spec.cpus * (job.waiting_count() + job.placed_count())
+            for job in self.jobs.values()
+            if job.at_risk
+        )
+
     def _heard_of_fleet(self, now: Seconds) -> bool:
         """A new leader first hears of the machines there are, or it would rent them twice.
 
--- a/src/crosscleat/core/parting.py
+++ b/src/crosscleat/core/parting.py
@@ -30,6 +30,7 @@
     waiting: int
     failed_on: tuple[MachineId, ...]
     zones: dict[Zone, int]
+    at_risk: bool
 
 
 class RoomView(msgspec.Struct, array_like=True, frozen=True):
@@ -125,6 +126,7 @@
                 job.waiting_count(),
                 tuple(sorted(job.failed_on)),
                 ledger.job_zones.get(job.ref, {}),
+                job.at_risk,
             )
             for job in found
         ),
@@ -168,6 +170,7 @@
         job.fresh = max(0, given.spec.tasks - given.waiting)
         job.succeeded = True
         job.failed_on = set(given.failed_on)
+        job.at_risk = given.at_risk
         ledger.job_zones[job.ref] = dict(given.zones)
         jobs.append(job)
     machines = []
--- a/src/crosscleat/core/rounds.py
+++ b/src/crosscleat/core/rounds.py
@@ -311,13 +311,15 @@
             key = (machine.type.name, machine.spot, fetch_s)
             score = scores.get(key)
             if score is None:
-                score = self._scorer.score(job.spec, age, machine.type, machine.spot, fetch_s)
+                # What may be late by a loss goes to ordinary machines, as if those cost the same.
+                spot = machine.spot or job.at_risk
+                score = self._scorer.score(job.spec, age, machine.type, spot, fetch_s)
                 # Among near equals the fuller machine: others empty and can be returned, and
                 # large rooms stay whole for large tasks.
                 score = scores[key] = -round(score, 2)
-            found.append((score, room.cpus, number, room))
+            found.append((score, job.at_risk and machine.spot, room.cpus, number, room))
         found.sort()
-        return deque((score, room) for score, _, _, room in found)
+        return deque((score, room) for score, _, _, _, room in found)
 
     def _may(self, job: Job, room: Room) -> bool:
         if not room.fits(job) or not room.machine.allowed(job.spec):
--- a/src/crosscleat/core/scoring.py
+++ b/src/crosscleat/core/scoring.py
@@ -63,6 +63,12 @@
         limit = self._limits[job.job_class]
         return limit if limit is not None else 60.0 + 3.0 * self._run_times.estimate(job)
 
+    def dues(self, job: JobSpec) -> list[float]:
+        """The times after submission by which the aims want it done, the first one first."""
+        if job.deadline_s is not None:
+            return [job.deadline_s]
+        return sorted(self._deployment.class_limits("finished", job.job_class))
+
     def utility(self, job: JobSpec, start_age: float, completion_age: float) -> float:
         """Monotonically decreasing in both ages: slowly until due, then quickly.
 
