--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -43,7 +43,7 @@
     often, seldom = seen(per_hour=6.0), seen(per_hour=0.2)
     assert at_risk(often, estimate_s=45.0)
     assert not at_risk(seldom, estimate_s=45.0), "hardly any is lost"
-    assert not at_risk(often, estimate_s=6.0), "it can be repeated in time"
+    assert not at_risk(often, estimate_s=20.0, tasks=40), "it can be repeated in time"
     assert at_risk(often, estimate_s=6.0, age=50.0, tasks=40), "not any more"
     assert not at_risk(often, estimate_s=90.0), "it is late in any case"
     assert not at_risk(often, estimate_s=45.0, done=9), "one task is left"
