Split rounds: feasibility, reservations and gang placement in modules of their own

Behaviour stays. The count of questions in test_size follows the method to Feasibility.admits, with the same bound. The names follow the field: room on a machine is reserved, not kept.

--- /dev/null
+++ b/src/crosscleat/core/feasibility.py
@@ -0,0 +1,158 @@
+"""What one planning round may still place where: room, quotas, zones and reservations.
+
+It counts what the round itself has taken on top of what the ledger knows.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from .capacity import Room, fetch_time, within
+from .ids import JobRef, MachineId, Seconds, Team
+from .jobs import Job
+from .model import Priority, TeamLimits
+from .placements import Ledger, Machine
+
+RESERVED_FROM_ALL_S = 60.0
+"""Work of a higher priority may use a reserved machine until its job has waited so long."""
+PATIENCE_S = 60.0
+"""A job of which no task has been on a machine for so long may use whatever room there is: none
+waits for 90 s while a machine has room for it."""
+QUOTA_SHARE = 0.05
+"""At most this part of a team's limit is left to urgent work."""
+
+
+class Feasibility:
+    """The room of a round as it is being used up."""
+
+    def __init__(
+        self,
+        ledger: Ledger,
+        teams: dict[Team, TeamLimits],
+        now: Seconds,
+        urgent_reserve: float,
+    ) -> None:
+        self._ledger = ledger
+        self._teams = teams
+        self._now = now
+        self._urgent_reserve = urgent_reserve
+        self._cpus = dict(ledger.team_cpus)
+        self._gpus = dict(ledger.team_gpus)
+        self._zones: dict[JobRef, dict[str, int]] = {}
+        self._fetches: dict[tuple[MachineId, str], float] = {}
+        self._taken: dict[JobRef, int] = {}
+        self._free_cpus = 0.0
+        self.rooms: list[Room] = []
+
+    def add_machines(self, machines: Iterable[Machine]) -> None:
+        """The machines on which the round may place."""
+        for machine in machines:
+            room = Room.of(machine)
+            self._free_cpus += max(0.0, room.cpus)
+            self.rooms.append(room)
+
+    def taken(self, job: Job) -> int:
+        """How many tasks of the job this round has placed."""
+        return self._taken.get(job.ref, 0)
+
+    def impatient(self, job: Job) -> bool:
+        """Whether its next task is kept from no room that is left for others."""
+        first = job.gang or job.ref not in self._taken
+        return first and job.idle_s(self._now) > PATIENCE_S
+
+    def admits(self, job: Job, room: Room) -> bool:
+        """Whether the job's next task may go there."""
+        if not room.fits(job) or not room.machine.allowed(job.spec):
+            return False
+        if self._held_back(job, room) and not self.impatient(job):
+            return False
+        return self._zone_admits(job, room.machine)
+
+    def _held_back(self, job: Job, room: Room) -> bool:
+        """Whether the room is left to other work, or the job has failed there."""
+        reservation = room.reservation
+        if reservation is not None and reservation.job != job.ref:
+            waited = self._now - reservation.submitted
+            precedes = job.spec.priority > reservation.priority
+            if not precedes or waited >= RESERVED_FROM_ALL_S:
+                return True
+        urgent = job.spec.priority >= Priority.HIGH
+        if not urgent and self._free_cpus - job.spec.cpus < self._urgent_reserve:
+            return True
+        return room.machine.id in job.failed_on and not self._failed_everywhere(job)
+
+    def _failed_everywhere(self, job: Job) -> bool:
+        """It failed on every machine that it could be on: then any of them may try again."""
+        return all(
+            room.machine.id in job.failed_on
+            for room in self.rooms
+            if room.machine.allowed(job.spec) and room.machine.type.holds(job.spec)
+        )
+
+    def _zone_admits(self, job: Job, machine: Machine) -> bool:
+        spec = job.spec
+        if not spec.one_zone and not spec.spread:
+            return True
+        mine = self._zones.get(job.ref, {})
+        if not self._ledger.zone_allows(spec, machine.zone):
+            return False
+        if spec.one_zone and any(zone != machine.zone for zone in mine):
+            return False
+        if spec.spread:
+            before = self._ledger.in_zone(spec, machine.zone)
+            return before + mine.get(machine.zone, 0) < spec.per_zone()
+        return True
+
+    def team_admits(self, job: Job) -> bool:
+        """Whether one more task keeps the job's team within its limit."""
+        limits = self._teams.get(job.spec.team)
+        if limits is None:
+            return False
+        used = self._cpus.get(job.spec.team, 0.0)
+        cpus = used + job.spec.cpus
+        gpus = self._gpus.get(job.spec.team, 0.0) + job.spec.gpus
+        most = limits.cpus_max
+        saved = job.spec.priority < Priority.HIGH and not self.impatient(job)
+        if saved and used > 0.5 * most > 0.0:
+            # A limit is room like any other: the last of it is for urgent work.
+            most -= min(2.0 * self._urgent_reserve, QUOTA_SHARE * most)
+        return within(cpus, most) and within(gpus, limits.gpus_max)
+
+    def take(self, job: Job, room: Room) -> None:
+        """Place one task of the job there."""
+        spec = job.spec
+        room.take(job)
+        self._free_cpus -= spec.cpus
+        self._taken[job.ref] = self._taken.get(job.ref, 0) + 1
+        self._cpus[spec.team] = self._cpus.get(spec.team, 0.0) + spec.cpus
+        self._gpus[spec.team] = self._gpus.get(spec.team, 0.0) + spec.gpus
+        if spec.one_zone or spec.spread:
+            zones = self._zones.setdefault(job.ref, {})
+            zones[room.machine.zone] = zones.get(room.machine.zone, 0) + 1
+        key = (room.machine.id, spec.image)
+        if key not in self._fetches:
+            self._fetches[key] = self.fetch_s(job, room)
+            room.fetching_s = max(room.fetching_s, self._fetches[key])
+
+    def give_back(self, job: Job, room: Room) -> None:
+        """Undo `take`, for a gang that did not fit whole: all its places are given back."""
+        spec = job.spec
+        room.give_back(job)
+        self._free_cpus += spec.cpus
+        self._taken[job.ref] -= 1
+        self._cpus[spec.team] -= spec.cpus
+        self._gpus[spec.team] -= spec.gpus
+        if self._taken[job.ref] == 0:
+            del self._taken[job.ref]
+        self._zones.pop(job.ref, None)
+
+    def fetch_s(self, job: Job, room: Room) -> float:
+        """How long the machine will still need for the job's image, behind its other fetches."""
+        machine = room.machine
+        ready = machine.images.get(job.spec.image)
+        if ready is not None:
+            return max(0.0, ready - self._now)
+        fetching = self._fetches.get((machine.id, job.spec.image))
+        if fetching is not None:
+            return fetching
+        return room.fetching_s + fetch_time(job.spec, machine.type)
--- a/src/crosscleat/core/fleet.py
+++ b/src/crosscleat/core/fleet.py
@@ -7,11 +7,11 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from .capacity import fetch_time, fitting, troubled
 from .ids import LONG_AGO, Seconds, Team, TypeName, Zone
 from .jobs import Job
 from .model import JobSpec, Knobs, MachineType, Priority, TeamLimits
 from .placements import Machine
-from .rounds import fetch_time, troubled
 
 MOST_PER_RENTAL = 50
 WINDOW_S = 120.0
@@ -87,12 +87,6 @@
         return count
 
 
-def fitting(spec: JobSpec, cpus: float, memory_gb: float, gpus: float) -> int:
-    """How many of the job's tasks fit in so much room."""
-    parts = ((spec.cpus, cpus), (spec.memory_gb, memory_gb), (spec.gpus, gpus))
-    return int(min((room / need for need, room in parts if need > 0), default=1e6) + 1e-9)
-
-
 def _suits(job: Job, space: Space) -> bool:
     spec = job.spec
     return (
--- a/src/crosscleat/core/leader.py
+++ b/src/crosscleat/core/leader.py
@@ -15,6 +15,7 @@
 from . import reports
 from .batch import Batch
 from .budget import Budget
+from .capacity import fetch_time, troubled, within
 from .effects import (
     Answer,
     ClearOrder,
@@ -62,7 +63,7 @@
 from .placements import NOWHERE, UNKNOWN_TYPE, AttemptKey, Hold, Ledger, Machine
 from .records import DropRecords, WorkRecord, WorkRecords
 from .reports import ListedMachine, Report, TaskReport
-from .rounds import MOST_CHOICES, Round, fetch_time, troubled, within
+from .rounds import MOST_CHOICES, Round
 from .scoring import RunTimes, Scorer
 
 MARGIN_S = 1.5
@@ -873,8 +874,10 @@
         jobs = list(self._plannable())
         machines = [m for m in self.ledger.machines.values() if self.usable(m, now)]
         mine = [job for job in jobs if not self._elsewhere(job, now)]
-        kept = None if len(mine) == len(jobs) else self._new_round(now).kept(jobs, machines)
-        planned = self._new_round(now).plan(mine, machines, MOST_CHOICES, kept)
+        reservations = None
+        if len(mine) < len(jobs):
+            reservations = self._new_round(now).reservations(jobs, machines)
+        planned = self._new_round(now).plan(mine, machines, MOST_CHOICES, reservations)
         for ref, choices in groupby(planned, key=lambda choice: choice.job):
             machines_chosen = [self.ledger.machines[choice.machine] for choice in choices]
             if self.jobs[ref].gang:
@@ -912,7 +915,7 @@
         if not parts.keys() - {self.deployment.member}:
             return
         machines = [m for m in self.ledger.machines.values() if self.usable(m, now)]
-        kept = self._new_round(now).kept(self._plannable(), machines)
+        reservations = self._new_round(now).reservations(self._plannable(), machines)
         shares = shares_of(parts, self.deployment.teams, self.ledger)
         self._part_number += 1
         self._parts.clear()
@@ -924,7 +927,7 @@
                 jobs,
                 machines,
                 self.ledger,
-                kept,
+                reservations,
                 shares[member],
                 self.reserve(),
                 self.run_times.factors,
--- a/src/crosscleat/core/parting.py
+++ b/src/crosscleat/core/parting.py
@@ -14,11 +14,12 @@
 
 import msgspec
 
+from .capacity import Choice, Reservation, troubled
 from .ids import Image, JobRef, MachineId, Member, Seconds, Team, TypeName, Version, Zone
 from .jobs import Job
 from .model import Deployment, JobSpec, MachineType, Priority, TeamLimits
 from .placements import Ledger, Machine
-from .rounds import MOST_CHOICES, Choice, Kept, Round, troubled
+from .rounds import MOST_CHOICES, Round
 from .scoring import RunTimes, Scorer
 
 MOST_JOBS = 60
@@ -43,7 +44,7 @@
     used_memory: float
     images: dict[Image, float]
     """Those it has or fetches, with the seconds until they are there."""
-    kept: tuple[JobRef, Priority, float] | None
+    reservation: tuple[JobRef, Priority, float] | None
     """Whose large tasks it is emptied for: the job, its priority and its age."""
 
 
@@ -110,7 +111,7 @@
     jobs: Iterable[Job],
     machines: Iterable[Machine],
     ledger: Ledger,
-    kept: dict[MachineId, Kept],
+    reservations: dict[MachineId, Reservation],
     shares: dict[Team, tuple[float, float]],
     reserve: float,
     factors: dict[str, float],
@@ -140,7 +141,7 @@
                 m.used_gpus,
                 m.used_memory,
                 {Image(i): max(0.0, ready - now) for i, ready in m.images.items()},
-                _kept_view(kept.get(m.id), now),
+                _reservation_view(reservations.get(m.id), now),
             )
             for m in machines
             if m.used_cpus < m.type.cpus
@@ -151,8 +152,12 @@
     )
 
 
-def _kept_view(kept: Kept | None, now: Seconds) -> tuple[JobRef, Priority, float] | None:
-    return None if kept is None else (kept.job, kept.priority, now - kept.submitted)
+def _reservation_view(
+    reservation: Reservation | None, now: Seconds
+) -> tuple[JobRef, Priority, float] | None:
+    if reservation is None:
+        return None
+    return (reservation.job, reservation.priority, now - reservation.submitted)
 
 
 def plan(
@@ -176,7 +181,7 @@
         ledger.job_zones[job.ref] = dict(given.zones)
         jobs.append(job)
     machines = []
-    kept = {}
+    reservations = {}
     for room in view.rooms:
         if room.type in types:
             machine = Machine(room.machine, types[room.type], room.zone, room.spot)
@@ -185,9 +190,10 @@
             machine.used_memory = room.used_memory
             machine.images = {i: Seconds(now + wait) for i, wait in room.images.items()}
             machines.append(machine)
-            if room.kept is not None:
-                job_ref, priority, age_s = room.kept
-                kept[machine.id] = Kept(job_ref, priority, Seconds(now - age_s))
+            if room.reservation is not None:
+                job_ref, priority, age_s = room.reservation
+                since = Seconds(now - age_s)
+                reservations[machine.id] = Reservation(job_ref, priority, since)
     teams = {
         team: TeamLimits(team, 0.0, cpus, 0.0, gpus) for team, (cpus, gpus) in view.shares.items()
     }
@@ -201,5 +207,5 @@
         now,
         deployment.knobs.drop_threshold,
         view.reserve,
-    ).plan(jobs, machines, MOST_CHOICES, kept)
+    ).plan(jobs, machines, MOST_CHOICES, reservations)
     return Proposal(view.number, tuple((c.job, c.machine) for c in choices))
--- /dev/null
+++ b/src/crosscleat/core/reservations.py
@@ -0,0 +1,100 @@
+"""Machines that are emptied for tasks which otherwise never find room.
+
+Small tasks take whatever is freed, so a task that needs much of a machine, or a gang that needs
+several places at once, would wait for as long as small ones come.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections.abc import Callable, Iterable
+
+from .capacity import MachineGroup, Reservation, Room
+from .ids import Seconds, TypeName, Zone
+from .jobs import Job
+from .placements import Machine
+from .scoring import Scorer
+
+LARGE_SHARE = 0.3
+"""A task that takes so much of a machine finds no room where small ones take whatever is freed."""
+RESERVE_AFTER_S = 5.0
+"""A job has machines reserved when it has waited so long."""
+RESERVED_SHARE = 0.3
+"""At most this part of the machines that could hold a job's tasks is reserved."""
+
+
+def reserve_machines(
+    rooms: Iterable[Room],
+    waiting: Iterable[Job],
+    scorer: Scorer,
+    now: Seconds,
+    team_admits: Callable[[Job], bool],
+) -> None:
+    """Reserve a few machines for large tasks and gangs that have waited, the oldest job first."""
+    groups = _groups(rooms)
+    for job in sorted(waiting, key=lambda job: job.submitted):
+        if now - job.submitted < RESERVE_AFTER_S:
+            return
+        if not team_admits(job):
+            continue
+        able = [group for group in groups if _large_on(job, group.machine, scorer)]
+        if job.gang and job.spec.one_zone and able:
+            able = _zone_with_most_room(able)
+        most = max(1, int(RESERVED_SHARE * sum(len(group.rooms) for group in able)))
+        count = most - sum(group.reserved for group in able)
+        count = min(count, _machines_needed(job, able, scorer))
+        if count > 0:
+            _reserve(job, able, count)
+
+
+def _groups(rooms: Iterable[Room]) -> list[MachineGroup]:
+    """Machines of a kind are alike to a job: it looks at each kind once, not at each machine."""
+    groups: dict[tuple[TypeName, Zone, bool], MachineGroup] = {}
+    for room in rooms:
+        machine = room.machine
+        key = (machine.type.name, machine.zone, machine.spot)
+        group = groups.get(key)
+        if group is None:
+            group = groups[key] = MachineGroup(machine)
+        group.rooms.append(room)
+    return list(groups.values())
+
+
+def _large_on(job: Job, machine: Machine, scorer: Scorer) -> bool:
+    """Whether it needs a machine that is emptied for it, or, as a gang, several places at once."""
+    if not machine.type.holds(job.spec) or not machine.allowed(job.spec):
+        return False
+    share = scorer.share(job.spec, machine.type)
+    return (share * job.spec.tasks if job.gang else share) >= LARGE_SHARE
+
+
+def _zone_with_most_room(groups: list[MachineGroup]) -> list[MachineGroup]:
+    free_in: dict[Zone, float] = {}
+    for group in groups:
+        zone, cpus = group.machine.zone, sum(room.cpus for room in group.rooms)
+        free_in[zone] = free_in.get(zone, 0.0) + cpus
+    best = max(free_in, key=lambda zone: free_in[zone])
+    return [group for group in groups if group.machine.zone == best]
+
+
+def _machines_needed(job: Job, able: list[MachineGroup], scorer: Scorer) -> int:
+    """How many of them, emptied, the job's waiting tasks would take."""
+    if not job.gang:
+        return job.waiting_count()
+    share = max((scorer.share(job.spec, group.machine.type) for group in able), default=0.0)
+    return math.ceil(job.waiting_count() * share)
+
+
+def _reserve(job: Job, able: list[MachineGroup], count: int) -> None:
+    """The emptiest machines that no other job has reserved."""
+    free = (
+        (-room.cpus, -room.memory, number, room, group)
+        for number, (room, group) in enumerate(
+            (room, group) for group in able for room in group.rooms
+        )
+        if room.reservation is None
+    )
+    for *_, room, group in heapq.nsmallest(count, free):
+        room.reservation = Reservation(job.ref, job.spec.priority, job.submitted)
+        group.reserved += 1
--- a/tests/test_parting.py
+++ b/tests/test_parting.py
@@ -8,13 +8,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from crosscleat.core.capacity import Reservation
 from crosscleat.core.effects import Item, Part
 from crosscleat.core.ids import JobRef, MachineId, Member, Seconds, Team, Version, WallTime, Zone
 from crosscleat.core.jobs import Job, live_key, live_record
 from crosscleat.core.model import Priority
 from crosscleat.core.parting import Proposal, View, owner, plan, shares_of, view_of
 from crosscleat.core.placements import Ledger, Machine
-from crosscleat.core.rounds import Kept
 
 from .term import Term
 from .world import MEMBERS, TEAMS, TYPES, deployment, job
@@ -127,7 +127,7 @@
     machine.used_cpus = 4.0
     small = Job(job("job-1", tasks=1, cpus=1.0), Version(1), NOW)
     shares = {Team("red"): (10.0, 0.0)}
-    large = Kept(JobRef("job-large"), Priority.NORMAL, Seconds(NOW - 20.0))
+    large = Reservation(JobRef("job-large"), Priority.NORMAL, Seconds(NOW - 20.0))
     for kept, count in (({}, 1), ({machine.id: large}, 0)):
         view = view_of(1, [small], [machine], Ledger(), kept, shares, 0.0, {}, NOW)
         types = {t.name: t for t in TYPES}
--- a/tests/test_rounds.py
+++ b/tests/test_rounds.py
@@ -8,6 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from crosscleat.core.capacity import Choice
 from crosscleat.core.ids import (
     Image,
     JobRef,
@@ -21,7 +22,7 @@
 from crosscleat.core.jobs import Job
 from crosscleat.core.model import Priority, Shape
 from crosscleat.core.placements import Hold, Ledger, Machine
-from crosscleat.core.rounds import Choice, Round
+from crosscleat.core.rounds import Round
 from crosscleat.core.scoring import RunTimes, Scorer
 
 from .world import TEAMS, TYPES, deployment, job
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from crosscleat.app import Sockets
+from crosscleat.core.feasibility import Feasibility
 from crosscleat.core.fleet import Fleet, Space
 from crosscleat.core.ids import MachineId, Seconds, Team, Version, Zone
 from crosscleat.core.jobs import Job
@@ -59,7 +60,7 @@
 ) -> None:
     jobs, machines = flooded()
     allowed = counted(monkeypatch, Machine, "allowed")
-    ranked = counted(monkeypatch, Round, "_may")
+    ranked = counted(monkeypatch, Feasibility, "admits")
     scorer = Scorer(deployment("c0"), RunTimes())
     planned = Round(Ledger(), scorer, TEAMS, Random(1), NOW, 0.05, 0.0).plan(jobs, machines, 48)
     assert len(planned) >= 30, "a sample of full machines would find a third of them"
