A waiting gang's lost task is replaced under its number; stops, notices and scores know the gang

A placement on record now names its machine too, since the number alone no longer tells two places apart. - gang_wait_s: no machines are chosen among which the first task would wait too long for the last. - gang_peer_s: on a notice a gang is stopped to save only if all its machines can be told in time; else until the notice's last useful moment it runs on, then its work since the checkpoint is lost. - A gang is scored as one: last image, mean cost, fewer machines among equals.

--- a/src/crosscleat/core/batch.py
+++ b/src/crosscleat/core/batch.py
@@ -4,8 +4,8 @@
 
 from .effects import Put, Remove
 from .election import LEADER
-from .ids import Attempt, Version
-from .jobs import Job, Stretch, ended_key, ended_record, live_key
+from .ids import Version
+from .jobs import Job, RecordedPlacement, Stretch, ended_key, ended_record, live_key
 from .placements import Machine
 from .records import DropRecord, WorkRecord
 
@@ -26,7 +26,7 @@
         self.ended: list[Job] = []
         self.records: list[WorkRecord] = []
         self.closing: list[WorkRecord] = []
-        self.stretches: list[tuple[Job, Stretch, frozenset[tuple[int, Attempt]]]] = []
+        self.stretches: list[tuple[Job, Stretch, frozenset[RecordedPlacement]]] = []
         self._most = most
         self._most_conditions = 4 * most
         self._bytes_left = MOST_BYTES
@@ -73,7 +73,6 @@
         self.put(Put(record.key, record.value()), record.version)
         self.records.append(record)
         for job, stretch in record.members.values():
-            recorded = frozenset((i, p.attempt) for i, p in stretch.placed.items())
-            self.stretches.append((job, stretch, recorded))
+            self.stretches.append((job, stretch, stretch.entered()))
         record.dirty = False
         record.urgent = None
--- a/src/crosscleat/core/capacity.py
+++ b/src/crosscleat/core/capacity.py
@@ -71,12 +71,6 @@
         self.gpus -= job.spec.gpus
         self.memory -= job.spec.memory_gb
 
-    def give_back(self, job: Job) -> None:
-        """Undo `take`."""
-        self.cpus += job.spec.cpus
-        self.gpus += job.spec.gpus
-        self.memory += job.spec.memory_gb
-
 
 @dataclass(slots=True)
 class MachineGroup:
--- a/src/crosscleat/core/feasibility.py
+++ b/src/crosscleat/core/feasibility.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 
 from .capacity import Room, fetch_time, within
-from .ids import JobRef, MachineId, Seconds, Team
+from .ids import JobRef, MachineId, Seconds, Team, Zone
 from .jobs import Job
 from .model import Priority, TeamLimits
 from .placements import Ledger, Machine
@@ -76,11 +76,31 @@
             precedes = job.spec.priority > reservation.priority
             if not precedes or waited >= RESERVED_FROM_ALL_S:
                 return True
-        urgent = job.spec.priority >= Priority.HIGH
-        if not urgent and self._free_cpus - job.spec.cpus < self._urgent_reserve:
+        if not self._leaves_urgent_reserve(job, 1):
             return True
         return room.machine.id in job.failed_on and not self._failed_everywhere(job)
 
+    def _leaves_urgent_reserve(self, job: Job, count: int) -> bool:
+        if job.spec.priority >= Priority.HIGH:
+            return True
+        return self._free_cpus - count * job.spec.cpus >= self._urgent_reserve
+
+    def admits_all(self, job: Job, count: int) -> bool:
+        """Whether so many tasks at once keep to the team's limit and leave room to urgent work."""
+        if not self._leaves_urgent_reserve(job, count) and not self.impatient(job):
+            return False
+        return self.team_admits(job, count)
+
+    def zone_left(self, job: Job, zone: Zone) -> int:
+        """How many more tasks of the job may be in the zone."""
+        spec = job.spec
+        if not self._ledger.zone_allows(spec, zone):
+            return 0
+        if not spec.spread:
+            return spec.tasks
+        mine = self._zones.get(job.ref, {})
+        return spec.per_zone() - self._ledger.in_zone(spec, zone) - mine.get(zone, 0)
+
     def _failed_everywhere(self, job: Job) -> bool:
         """It failed on every machine that it could be on: then any of them may try again."""
         return all(
@@ -103,14 +123,14 @@
             return before + mine.get(machine.zone, 0) < spec.per_zone()
         return True
 
-    def team_admits(self, job: Job) -> bool:
-        """Whether one more task keeps the job's team within its limit."""
+    def team_admits(self, job: Job, count: int = 1) -> bool:
+        """Whether so many more tasks keep the job's team within its limit."""
         limits = self._teams.get(job.spec.team)
         if limits is None:
             return False
-        used = self._cpus.get(job.spec.team, 0.0)
+        used = self._cpus.get(job.spec.team, 0.0) + (count - 1) * job.spec.cpus
         cpus = used + job.spec.cpus
-        gpus = self._gpus.get(job.spec.team, 0.0) + job.spec.gpus
+        gpus = self._gpus.get(job.spec.team, 0.0) + count * job.spec.gpus
         most = limits.cpus_max
         saved = job.spec.priority < Priority.HIGH and not self.impatient(job)
         if saved and used > 0.5 * most > 0.0:
@@ -134,18 +154,6 @@
             self._fetches[key] = self.fetch_s(job, room)
             room.fetching_s = max(room.fetching_s, self._fetches[key])
 
-    def give_back(self, job: Job, room: Room) -> None:
-        """Undo `take`, for a gang that did not fit whole: all its places are given back."""
-        spec = job.spec
-        room.give_back(job)
-        self._free_cpus += spec.cpus
-        self._taken[job.ref] -= 1
-        self._cpus[spec.team] -= spec.cpus
-        self._gpus[spec.team] -= spec.gpus
-        if self._taken[job.ref] == 0:
-            del self._taken[job.ref]
-        self._zones.pop(job.ref, None)
-
     def fetch_s(self, job: Job, room: Room) -> float:
         """How long the machine will still need for the job's image, behind its other fetches."""
         machine = room.machine
--- a/src/crosscleat/core/fleet.py
+++ b/src/crosscleat/core/fleet.py
@@ -167,11 +167,11 @@
         self,
         knobs: Knobs,
         due: Callable[[JobSpec], float],
-        run_s: Callable[[JobSpec], float],
+        remaining_s: Callable[[Job], float],
     ) -> None:
         self._knobs = knobs
         self._due = due
-        self._run_s = run_s
+        self._remaining_s = remaining_s
         self._pools: dict[PoolKey, Pool] = {}
         self.types: dict[TypeName, MachineType] = {}
         self.demand = Demand()
@@ -280,7 +280,7 @@
         overdue = False
         for job, count in homeless:
             age = Seconds(now - job.submitted)
-            found = self._pick(job.spec, age, now)
+            found = self._pick(job, age, now)
             if found is not None and wanted in (None, found[0]):
                 wanted = found[0]
                 machines += count / found[1]
@@ -318,12 +318,13 @@
         slack = max(0.0, self._due(job.spec) - job.spec.estimate_s)
         return now - job.submitted > min(PRESSING_BOOTS * boot_s, PRESSING_SLACK * slack)
 
-    def _pick(self, spec: JobSpec, age: Seconds, now: Seconds) -> tuple[PoolKey, int] | None:
+    def _pick(self, job: Job, age: Seconds, now: Seconds) -> tuple[PoolKey, int] | None:
         """The cheapest pool for tasks that no rented machine can start, and how many fit on one.
 
         A dear machine is for work that it can still bring in on time, or that has waited so long
         that it must be served at any price.
         """
+        spec = job.spec
         suited = [
             (kind, key)
             for kind in self.types.values()
@@ -335,7 +336,7 @@
         choosy = any(not self.dear(kind, key.spot) for kind, key in suited)
         options = []
         for kind, key in suited:
-            late = self._late(spec, kind) < age < SERVED_S
+            late = self._late(job, kind) < age < SERVED_S
             if not self.pool(key).open(now):
                 continue
             if choosy and late and self.dear(kind, key.spot):
@@ -347,9 +348,11 @@
         _, _, pool, per = min(options, key=lambda option: option[:2])
         return pool, per
 
-    def _late(self, spec: JobSpec, kind: MachineType) -> float:
+    def _late(self, job: Job, kind: MachineType) -> float:
         """The age from which renting such a machine can't complete the job's tasks on time."""
-        return self._due(spec) - self._run_s(spec) - kind.boot_s - fetch_time(spec, kind)
+        spec = job.spec
+        start_s = kind.boot_s + fetch_time(spec, kind)
+        return self._due(spec) - self._remaining_s(job) - start_s
 
     def _cheapest(
         self, cpus: float, now: Seconds, suits: Callable[[MachineType, PoolKey], bool]
--- a/src/crosscleat/core/gang_placement.py
+++ b/src/crosscleat/core/gang_placement.py
@@ -1,40 +1,133 @@
-"""Places for all tasks of a gang at once, or none (DESIGN: a gang commits whole or not at all)."""
+"""Places for all tasks of a gang at once, or none (DESIGN: a gang commits whole or not at all).
+
+A gang is scored as a whole: it starts when the last of its machines has the image, and every task
+holds its room from the beginning.
+"""
 
 from __future__ import annotations
 
-from .capacity import Room
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from .capacity import Room, fitting
 from .feasibility import Feasibility
+from .gangs import FETCH_SPREAD, start_delay_s
+from .ids import Seconds, Zone
 from .jobs import Job
+from .scoring import Scorer
+
+
+@dataclass(frozen=True, slots=True)
+class GangPlan:
+    """Rooms for all missing tasks of a gang, one entry a task."""
+
+    rooms: list[Room]
+    score: float
+
+    @property
+    def rank(self) -> tuple[float, int]:
+        """Larger is better. Among near equals the one on fewer machines: the loss of any ends the
+        attempt."""
+        return round(self.score, 2), -len({room.machine.id for room in self.rooms})
+
+
+class GangPlacer:
+    """Finds places for gangs in one round."""
+
+    def __init__(self, feasible: Feasibility, scorer: Scorer, now: Seconds) -> None:
+        self._feasible = feasible
+        self._scorer = scorer
+        self._deployment = scorer.deployment
+        self._now = now
+
+    def place(self, job: Job, ranked: list[Room]) -> list[Room]:
+        """The best places for all its tasks, taken from the round; or none."""
+        longest_s = self._deployment.gang_wait_s / FETCH_SPREAD
+        plans = [
+            plan
+            for rooms in self._orders(job, ranked)
+            if (plan := self._plan(job, rooms, longest_s)) is not None
+        ]
+        return self._take(job, plans)
+
+    def complete(self, job: Job, ranked: list[Room], left_s: float) -> list[Room]:
+        """Places for its missing tasks that can start within `left_s`; or none."""
+        in_time = [room for room in ranked if self._start_s(job, room) * FETCH_SPREAD <= left_s]
+        plans = [
+            plan
+            for rooms in self._orders(job, in_time)
+            if (plan := self._plan(job, rooms, left_s)) is not None
+        ]
+        return self._take(job, plans)
+
+    def _take(self, job: Job, plans: list[GangPlan]) -> list[Room]:
+        if not plans:
+            return []
+        best = max(plans, key=lambda plan: plan.rank)
+        for room in best.rooms:
+            self._feasible.take(job, room)
+        return best.rooms
+
+    def _orders(self, job: Job, ranked: list[Room]) -> Iterator[list[Room]]:
+        """Orders in which rooms may be filled, in each zone where all tasks must be in one."""
+        for rooms in self._zones(job, ranked):
+            yield rooms
+            yield sorted(rooms, key=lambda room: -self._fitting(job, room))
+
+    def _zones(self, job: Job, ranked: list[Room]) -> list[list[Room]]:
+        if not job.spec.one_zone:
+            return [ranked]
+        by_zone: dict[Zone, list[Room]] = {}
+        for room in ranked:
+            by_zone.setdefault(room.machine.zone, []).append(room)
+        return list(by_zone.values())
+
+    def _plan(self, job: Job, rooms: list[Room], longest_s: float) -> GangPlan | None:
+        """Fill the rooms in this order, without those whose task would wait too long."""
+        count = job.waiting_count()
+        if not self._feasible.admits_all(job, count):
+            return None
+        while True:
+            filled = self._fill(job, rooms, count)
+            if len(filled) < count:
+                return None
+            starts = [self._start_s(job, room) for room in filled]
+            last = max(starts)
+            if last - min(starts) <= longest_s:
+                return GangPlan(filled, self._score(job, filled, last))
+            # The first to wait would give up before the last can start.
+            rooms = [room for room in rooms if self._start_s(job, room) >= last - longest_s]
+
+    def _fill(self, job: Job, rooms: list[Room], count: int) -> list[Room]:
+        filled: list[Room] = []
+        in_zone: Counter[Zone] = Counter()
+        for room in rooms:
+            zone = room.machine.zone
+            left = self._feasible.zone_left(job, zone) - in_zone[zone]
+            tasks = min(self._fitting(job, room), left, count - len(filled))
+            if tasks > 0:
+                filled.extend([room] * tasks)
+                in_zone[zone] += tasks
+            if len(filled) == count:
+                break
+        return filled
+
+    def _fitting(self, job: Job, room: Room) -> int:
+        return fitting(job.spec, room.cpus, room.memory, room.gpus)
 
+    def _start_s(self, job: Job, room: Room) -> float:
+        """Until a task placed there now has its image."""
+        delay_s = start_delay_s(room.machine, self._deployment, self._now)
+        return delay_s + self._feasible.fetch_s(job, room)
 
-def place_gang(job: Job, ranked: list[Room], feasible: Feasibility) -> list[Room]:
-    """The best machines for the gang, zone by zone where all its tasks must be in one."""
-    for rooms in _options(job, ranked):
-        taken = _take_all(job, rooms, feasible)
-        if taken:
-            return taken
-    return []
-
-
-def _options(job: Job, ranked: list[Room]) -> list[list[Room]]:
-    if not job.spec.one_zone:
-        return [ranked]
-    # In the order in which a task alone would choose.
-    zones = list(dict.fromkeys(room.machine.zone for room in ranked))
-    return [[room for room in ranked if room.machine.zone == zone] for zone in zones]
-
-
-def _take_all(job: Job, rooms: list[Room], feasible: Feasibility) -> list[Room]:
-    """Rooms for all tasks, the better ones filled first; or none is taken."""
-    taken: list[Room] = []
-    for room in rooms:
-        while (
-            len(taken) < job.spec.tasks and feasible.admits(job, room) and feasible.team_admits(job)
-        ):
-            feasible.take(job, room)
-            taken.append(room)
-    if len(taken) == job.spec.tasks:
-        return taken
-    for room in taken:
-        feasible.give_back(job, room)
-    return []
+    def _score(self, job: Job, rooms: list[Room], start_s: float) -> float:
+        """Of the gang as one: utility at its last start, cost of a task in the mean."""
+        age = Seconds(self._now - job.submitted)
+        scores = (
+            self._scorer.score(
+                job, age, room.machine.type, room.machine.spot or job.at_risk, start_s
+            )
+            for room in rooms
+        )
+        return sum(scores) / len(rooms)
--- a/src/crosscleat/core/jobs.py
+++ b/src/crosscleat/core/jobs.py
@@ -10,10 +10,12 @@
 
 import heapq
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 import msgspec
 
 from .effects import Record
+from .gangs import GangProgress
 from .ids import (
     LONG_AGO,
     Attempt,
@@ -62,6 +64,17 @@
     session: Session
 
 
+class RecordedPlacement(NamedTuple):
+    """An attempt of the task with this number is on the machine, as far as the store knows.
+
+    The machine belongs to it: a gang's lost task is replaced under the same attempt number.
+    """
+
+    number: int
+    attempt: Attempt
+    machine: MachineId
+
+
 @dataclass(slots=True, eq=False)
 class Stretch:
     """A job's `span` of consecutive tasks, kept together in one record."""
@@ -71,12 +84,19 @@
     """The number of the record that keeps it."""
     placed: dict[int, Placement] = field(default_factory=dict)
     tries: dict[int, Attempt] = field(default_factory=dict)
-    recorded: frozenset[tuple[int, Attempt]] = frozenset()
-    """The attempts that the stored records say may be on a machine."""
+    recorded: frozenset[RecordedPlacement] = frozenset()
+    """Where the stored records say that attempts may be."""
+
+    def entered(self) -> frozenset[RecordedPlacement]:
+        """Where attempts may be as far as this process knows, recorded or not."""
+        return frozenset(
+            RecordedPlacement(index, placed.attempt, placed.machine)
+            for index, placed in self.placed.items()
+        )
 
     def unrecorded(self) -> bool:
         """Whether an attempt is entered that the store does not have."""
-        return any((i, p.attempt) not in self.recorded for i, p in self.placed.items())
+        return any((i, p.attempt, p.machine) not in self.recorded for i, p in self.placed.items())
 
 
 @dataclass(slots=True, eq=False)
@@ -99,6 +119,8 @@
     stretches: dict[int, Stretch] = field(default_factory=dict)
     gang_attempt: Attempt = NEVER_TRIED
     """The number before that of a gang's present attempt."""
+    progress: GangProgress = field(default_factory=GangProgress)
+    """Of a gang only."""
     idle_since: Seconds = LONG_AGO
     """When the last of its tasks left its machine; before its submission: none was on one."""
     at_risk: bool = False
@@ -142,6 +164,11 @@
     def waiting_count(self) -> int:
         return self.spec.tasks - self.fresh + len(self.again)
 
+    @property
+    def partly_placed(self) -> bool:
+        """Whether a gang lacks some of its tasks, none of which has completed."""
+        return 0 < self.placed_count() < self.spec.tasks and not self.done_count
+
     def placed_count(self) -> int:
         return sum(len(s.placed) for s in self.stretches.values())
 
@@ -163,6 +190,7 @@
         """Take the next task and enter its new attempt, to be recorded before it is sent."""
         if self.gang and not self.placed_count():
             self.gang_attempt = self._tried_last()
+            self.progress.begin_attempt(self.spec)
         if self.again:
             index = self.again.pop()
         else:
@@ -181,10 +209,13 @@
         tries = (attempt for s in self.stretches.values() for attempt in s.tries.values())
         return max(tries, default=NEVER_TRIED)
 
-    def is_current(self, index: int, attempt: Attempt) -> bool:
+    def is_current(self, index: int, attempt: Attempt, machine: MachineId) -> bool:
+        """Whether the task's present attempt has this number and is on this machine."""
         stretch = self.stretches.get(index // self.span)
         placement = stretch.placed.get(index) if stretch is not None else None
-        return placement is not None and placement.attempt == attempt
+        return (
+            placement is not None and placement.attempt == attempt and placement.machine == machine
+        )
 
     def finish(self, index: int) -> None:
         """The task's current attempt completed."""
@@ -237,12 +268,14 @@
             if len(row) > 2:
                 stretch.placed[index] = Placement(attempt, MachineId(row[2]), Session(row[3]))
         for stretch in found:
-            stretch.recorded = frozenset((i, p.attempt) for i, p in stretch.placed.items())
+            stretch.recorded = stretch.entered()
         return found
 
     def loaded(self) -> None:
         """All stretches are in: work out what waits."""
         self.done_count = sum(self.done)
+        if self.gang and self.placed_count():
+            self.gang_attempt = Attempt(self._tried_last() - 1)
         reached = (max(self.stretches) + 1) * self.span if self.stretches else 0
         self.fresh = min(reached, self.spec.tasks)
         self.again = [
--- a/src/crosscleat/core/leader.py
+++ b/src/crosscleat/core/leader.py
@@ -40,6 +40,7 @@
 )
 from .election import Election
 from .fleet import Fleet, PoolKey, Wanted
+from .gangs import OnNotice, Phase, may_replace, on_notice, phase_of
 from .ids import (
     NO_TOKEN,
     Attempt,
@@ -62,7 +63,7 @@
 from .parting import Proposal, owner, parted, shares_of, view_of
 from .placements import NOWHERE, UNKNOWN_TYPE, AttemptKey, Hold, Ledger, Machine
 from .records import DropRecords, WorkRecord, WorkRecords
-from .reports import ListedMachine, Report, TaskReport
+from .reports import ListedMachine, Report, TaskReport, unknown_words
 from .rounds import MOST_CHOICES, Round
 from .scoring import RunTimes, Scorer
 
@@ -88,8 +89,13 @@
 PART_S = 0.4
 """How long an owner's part waits for its proposal."""
 SUSPECT_JOBS = 2
-AT_ONCE = (None, "stopped", "mates_gone", "incomplete")
+AT_ONCE = (None, reports.STOPPED, reports.MATES_GONE, reports.INCOMPLETE)
 """Ends that say nothing against the task or its machine: it may be placed again at once."""
+FULL_PAUSE_S = 4.0
+"""For so long nothing is placed on a machine that refused a start for lack of room."""
+FIRST_ATTEMPT = Attempt(1)
+MOST_UNKNOWN_WORDS = 100
+"""Of reports' unknown states and causes so many are remembered and logged."""
 TOMBSTONE_S = 900.0
 DROP_KEPT_S = 120.0
 
@@ -121,7 +127,7 @@
         self.drops = DropRecords(deployment.value_kb)
         self.run_times = RunTimes()
         self.scorer = Scorer(deployment, self.run_times)
-        self.fleet = Fleet(deployment.knobs, self.scorer.due, self.scorer.run_s)
+        self.fleet = Fleet(deployment.knobs, self.scorer.due, self.scorer.remaining_s)
         self.fleet.types = types
         self.losses = Losses()
         self.watched = now
@@ -159,6 +165,10 @@
         """Owners that plan their part just now, and until when we wait for them."""
         self._punctual: set[Member] = set()
         """Owners whose last proposal came in time: the others are not waited for."""
+        self._incomplete: dict[JobRef, Job] = {}
+        """Gangs that may still wait for a task that was lost."""
+        self._unknown_words: set[str] = set()
+        """States and causes in reports that were logged as unknown."""
         self._progress_sent: dict[JobRef, tuple[int, int]] = {}
         self.budget: Budget | None = None
         self.liveness = Liveness(
@@ -194,14 +204,15 @@
         return Job(spec_of(item.value), item.version, submitted, self.work.span)
 
     def _resume(self, job: Job) -> None:
-        """A gang as an earlier leader left it: whole, it goes on; else it is placed anew.
+        """A gang as an earlier leader left it: whole, it goes on; else it is completed or ended.
 
         Of one that is not whole on record no start was sent, or a part of it is gone.
         """
         if job.done_count:
             job.finish_unplaced()
-        elif 0 < job.placed_count() < job.spec.tasks:
-            self._disband(job, 0.0)
+        elif job.partly_placed:
+            # Its tasks may wait yet: decided once all its machines are heard of.
+            self._incomplete[job.ref] = job
 
     def _load_holds(self, job: Job, now: Seconds) -> None:
         for stretch in job.stretches.values():
@@ -389,6 +400,7 @@
             # count anew: what was placed there since is in an earlier session, and runs.
             for hold in self.ledger.before_session(machine, report.seen.session):
                 self._gone(machine, hold, now, None)
+        self._log_unknown_words(report)
         listed = {(task.task, task.attempt): task for task in report.tasks}
         machine.exited = {
             key: task.cause or "" for key, task in listed.items() if task.state == reports.EXITED
@@ -414,6 +426,14 @@
             self.losses.taken()
             self._evacuate(machine, report.notice_s, now)
 
+    def _log_unknown_words(self, report: Report) -> None:
+        """Once for each word: a later version of the workers may use more of them."""
+        unknown = unknown_words(report) - self._unknown_words
+        if unknown and len(self._unknown_words) < MOST_UNKNOWN_WORDS:
+            self._unknown_words |= unknown
+            words = ", ".join(repr(word[:40]) for word in sorted(unknown)[:5])
+            self.out.note("info", f"machine {report.machine} reports unknown words: {words}")
+
     def _restarted(self, machine: Machine, report: Report) -> bool:
         """It counts its sessions from 1 again: they prove nothing of what was placed there."""
         return any(hold.session > report.seen.session for hold in machine.holds.values())
@@ -426,11 +446,16 @@
             return
         hold.listed = hold.sent = True
         if task.state == reports.EXITED:
-            self._exited(machine, hold, task.cause or "", now)
+            self._exited(machine, hold, task, now)
             return
         hold.state = task.state
+        job = self.jobs.get(hold.task.job)
+        if job is not None and job.gang and task.state == reports.WAITING:
+            job.progress.waits(now)
         if task.state == reports.RUNNING and hold.running_since is None:
             hold.running_since = now
+            if job is not None and job.gang:
+                job.progress.runs(now)
             waited = now - self._submitted(hold, now)
             if waited > SLOW_START_S and hold.placed_at > self.began:
                 self.out.note(
@@ -446,25 +471,40 @@
         job = self.jobs.get(hold.task.job)
         return now if job is None else job.submitted
 
-    def _exited(self, machine: Machine, hold: Hold, cause: str, now: Seconds) -> None:
-        if cause == "done":
-            # When an attempt of an earlier term began to run is not known.
-            if hold.running_since is not None and hold.placed_at > self.began:
-                self.run_times.learn(hold.spec, now - hold.running_since)
+    def _exited(self, machine: Machine, hold: Hold, task: TaskReport, now: Seconds) -> None:
+        cause = task.cause or ""
+        if cause == reports.DONE:
+            self._learn_run_time(hold, now)
             machine.errors.clear()
+        job = self.jobs.get(hold.task.job)
+        if job is not None and job.gang and task.saved:
+            job.progress.end_attempt(job.spec, now, saved=True)
         self._gone(machine, hold, now, cause)
 
+    def _learn_run_time(self, hold: Hold, now: Seconds) -> None:
+        """Compare a completed run with its estimate, if it was a whole run that we saw begin.
+
+        A gang runs as its slowest machine does and counts once, not once for each task.
+        """
+        whole = hold.attempt == FIRST_ATTEMPT or hold.spec.checkpoint_s <= 0
+        if hold.running_since is None or hold.placed_at <= self.began or not whole:
+            return
+        job = self.jobs.get(hold.task.job)
+        if job is not None and job.gang and job.done_count:
+            return
+        self.run_times.learn(hold.spec, now - hold.running_since)
+
     def _gone(self, machine: Machine, hold: Hold, now: Seconds, cause: str | None) -> None:
         """The attempt is proven gone, by its exit's cause or, with None, without a result."""
         self.ledger.remove(machine, hold)
         self._changed = self._unwritten = True
         job = self.jobs.get(hold.task.job)
-        if job is None or not job.is_current(hold.task.number, hold.attempt):
+        if job is None or not job.is_current(hold.task.number, hold.attempt, machine.id):
             return
         index = hold.task.number
         job.idle_since = now
         self.work.of(job, job.stretch_of(index)).want(None, now)
-        if cause == "done" or (job.gang and job.done_count):
+        if cause == reports.DONE or (job.gang and job.done_count):
             # A gang's tasks complete together: of one of which a task is done, the others have
             # ended with that result too, or after it with their machine.
             job.finish(index)
@@ -477,12 +517,19 @@
             self._see_end(job)
             return
         if job.gang:
-            self._disband(job, 0.0)
-        if cause in AT_ONCE:
+            replaceable = may_replace(cause, self._holds_of(job, but=index))
+            if replaceable:
+                job.progress.lost_on.add(machine.id)
+                self._incomplete[job.ref] = job
+            elif job.progress.stopped_at is None:
+                self._end_attempt(job)
+        if cause in AT_ONCE or (job.gang and cause == reports.NO_ROOM):
+            if cause == reports.NO_ROOM:
+                machine.full_until = Seconds(now + FULL_PAUSE_S)
             job.requeue(index, None)
             return
         pause = 2.0
-        if cause == "error":
+        if cause == reports.ERROR:
             failures = job.failures.get(index, 0) + 1
             job.failures[index] = failures
             job.failed_on.add(machine.id)
@@ -491,25 +538,69 @@
             if not machine.suspect and self._blamed(machine):
                 machine.suspect = True
                 self.out.note("info", f"machine {machine.id}: several jobs fail on it, draining")
-        elif cause == "no_room":
-            machine.full_until = Seconds(now + 4.0)
+        elif cause == reports.NO_ROOM:
+            machine.full_until = Seconds(now + FULL_PAUSE_S)
             pause = 0.3
         job.requeue(index, Seconds(now + pause))
 
-    def _disband(self, job: Job, grace_s: float) -> None:
-        """The gang can't go on: all that is left of it is stopped at once, and placed anew together
-        when the last is proven gone.
+    def _end_attempt(self, job: Job) -> None:
+        """A task of the gang is gone: the others are stopped.
 
-        With no grace where a task is gone: the others' progress since the last checkpoint is lost.
+        With no grace: their progress since the last checkpoint is lost, or saved already.
         """
-        for machine, hold in list(self._holds_of(job)):
-            if not hold.withdrawn:
-                self._withdraw(machine, hold, grace_s)
+        self._stop_gang(job, 0.0)
+
+    def _stop_gang(self, job: Job, grace_s: float) -> None:
+        """All that is left of it is stopped at once, and placed anew together when the last is
+        proven gone."""
+        self._incomplete.pop(job.ref, None)
+        job.progress.stops(self.now)
+        going_on = [(m, hold) for m, hold in self._holds_of(job) if not hold.withdrawn]
+        for _, hold in going_on:
+            # All before any is found gone: the end of one must not end the attempt once more.
+            hold.withdrawn = True
+        for machine, hold in going_on:
+            self._withdraw(machine, hold, grace_s)
+
+    def _complete_gangs(self, now: Seconds) -> None:
+        """Replace lost tasks of gangs that still wait, under the number of their attempt."""
+        for job in list(self._incomplete.values()):
+            if job.aborted or not job.partly_placed:
+                self._incomplete.pop(job.ref, None)
+                continue
+            phase = phase_of(self._holds_of(job))
+            if phase is Phase.UNHEARD or job.settling:
+                continue
+            self._incomplete.pop(job.ref, None)
+            if phase is not Phase.WAITING or not self._complete_gang(job, now):
+                self._end_attempt(job)
+
+    def _complete_gang(self, job: Job, now: Seconds) -> bool:
+        """Place the missing tasks where they can start while the others still wait."""
+        missing = job.spec.tasks - job.placed_count()
+        if missing != job.waiting_count():
+            return False
+        waiting_since = job.progress.waiting_since
+        waited_s = 0.0 if waiting_since is None else now - waiting_since
+        machines = [
+            machine
+            for machine in self.ledger.machines.values()
+            if machine.id not in job.progress.lost_on and self.usable(machine, now)
+        ]
+        left_s = self.deployment.gang_wait_s - waited_s
+        choices = self._new_round(now).complete_gang(job, machines, left_s)
+        for choice in choices:
+            self._place(job, self.ledger.machines[choice.machine], now)
+        if job.placed_count() < job.spec.tasks:
+            return False
+        self.out.note("info", f"job {job.ref}: {missing} lost tasks of a waiting gang replaced")
+        return True
 
-    def _holds_of(self, job: Job) -> Iterator[tuple[Machine, Hold]]:
+    def _holds_of(self, job: Job, but: int | None = None) -> Iterator[tuple[Machine, Hold]]:
+        """Where the job's tasks may be, leaving out the one with the index `but`."""
         for stretch in job.stretches.values():
             for index, placed in list(stretch.placed.items()):
-                found = self._hold_of(job, index, placed)
+                found = self._hold_of(job, index, placed) if index != but else None
                 if found is not None:
                     yield found
 
@@ -551,7 +642,7 @@
 
     def _startable(self, hold: Hold) -> bool:
         """No task of a gang is started before the store has the places of all."""
-        if hold.spec.shape is not Shape.GANG or hold.sent:
+        if hold.spec.shape is not Shape.GANG:
             return True
         job = self.jobs.get(hold.task.job)
         return job is not None and job.whole
@@ -566,7 +657,9 @@
             return False
         # A direct start may come twice even if it was answered. A result is kept, so a task that
         # is done can be started again without harm.
-        repeated = NO_TOKEN if machine.exited[key] == "done" else machine.direct_starts.get(key)
+        repeated = (
+            NO_TOKEN if machine.exited[key] == reports.DONE else machine.direct_starts.get(key)
+        )
         if machine.shown_token <= max(machine.risk_token, repeated or NO_TOKEN):
             self._want_rotation(machine)
             return False
@@ -575,7 +668,7 @@
         if job is None:
             return True
         stretch = job.stretches.get(task.number // job.span)
-        return stretch is None or (task.number, attempt) not in stretch.recorded
+        return stretch is None or (task.number, attempt, machine.id) not in stretch.recorded
 
     def _want_rotation(self, machine: Machine) -> None:
         """Only a higher token rules out that a lost direct message is executed after all."""
@@ -679,19 +772,42 @@
     def _evacuate(self, machine: Machine, notice_s: float, now: Seconds) -> None:
         """Stop what the notice leaves no time for, so that it starts elsewhere sooner."""
         self.out.note("info", f"machine {machine.id}: to be taken back in {notice_s:.0f} s")
+        self._evacuate_gangs(machine, now)
         for hold in list(machine.holds.values()):
             spec = hold.spec
+            if spec.shape is Shape.GANG:
+                continue
             ran = now - (hold.running_since if hold.running_since is not None else now)
             if self.run_times.estimate(spec) - ran < 0.7 * notice_s:
                 continue
             saves = spec.checkpoint_s > 0 and spec.save_s < 0.5 * notice_s
             grace_s = spec.save_s if saves else 0.0
+            self._withdraw(machine, hold, grace_s)
+
+    def _evacuate_gangs(self, machine: Machine, now: Seconds) -> None:
+        """Decide what becomes of the gangs on a machine that is to be taken back."""
+        if machine.recall_at is None:
+            return
+        for hold in list(machine.holds.values()):
             job = self.jobs.get(hold.task.job)
-            if job is not None and job.gang:
-                # All are told at once, within gang_peer_s of each other: so their progress is kept.
-                self._disband(job, grace_s)
-            else:
-                self._withdraw(machine, hold, grace_s)
+            if job is None or not job.gang or job.aborted or hold.replaced:
+                continue
+            left_to_run_s = self.scorer.remaining_s(job) - job.progress.ran_s(now)
+            decision = on_notice(
+                job.spec,
+                list(self._holds_of(job)),
+                left_to_run_s,
+                machine.recall_at - now,
+                self.deployment,
+                now,
+            )
+            if decision is OnNotice.REPLACE:
+                hold.replaced = True
+                self._withdraw(machine, hold, 0.0)
+            elif decision is OnNotice.STOP_AND_SAVE:
+                self._stop_gang(job, job.spec.save_s)
+            elif decision is OnNotice.STOP:
+                self._stop_gang(job, 0.0)
 
     def drop(self, machine: Machine, why: str) -> None:
         """Decide to delete it: recorded first, then final."""
@@ -746,6 +862,8 @@
                 machine.idle_since = now
             if machine.dropping:
                 continue
+            if machine.recall_at is not None and machine.holds:
+                self._evacuate_gangs(machine, now)
             if machine.up:
                 if self.liveness.silent(machine, now):
                     machine.mute = True
@@ -826,6 +944,8 @@
         for job in self.jobs.values():
             if job.resting:
                 job.wake(now)
+        if self._incomplete:
+            self._changed = True
         self._watch_machines(now)
         if self.retired:
             return
@@ -871,6 +991,8 @@
     def _round(self, now: Seconds) -> None:
         if not self.may_start(now) or not self.fleet.types:
             return
+        if self._incomplete:
+            self._complete_gangs(now)
         jobs = list(self._plannable())
         machines = [m for m in self.ledger.machines.values() if self.usable(m, now)]
         mine = [job for job in jobs if not self._elsewhere(job, now)]
@@ -1075,9 +1197,7 @@
 
     def _waiting_cost(self, jobs: list[Job]) -> float:
         dear = max(self.fleet.types.values(), key=lambda t: t.price / max(t.cpus, 1e-9))
-        return sum(
-            job.waiting_count() * self.scorer.cost(job.spec, dear, False, 0.0) for job in jobs
-        )
+        return sum(job.waiting_count() * self.scorer.cost(job, dear, False, 0.0) for job in jobs)
 
     def _rent(self, wanted: Wanted) -> None:
         self._renting = True
@@ -1223,10 +1343,12 @@
         for job, stretch, recorded in batch.stretches:
             fresh = recorded - stretch.recorded
             stretch.recorded = recorded
-            for index, attempt in fresh:
+            for index, attempt, machine_id in fresh:
                 placed = stretch.placed.get(index)
                 found = placed and self._hold_of(job, index, placed)
-                if not found or placed is None or placed.attempt != attempt:
+                if not found or placed is None:
+                    continue
+                if placed.attempt != attempt or placed.machine != machine_id:
                     continue
                 machine, hold = found
                 hold.recorded = True
--- a/src/crosscleat/core/placements.py
+++ b/src/crosscleat/core/placements.py
@@ -54,6 +54,8 @@
     state: str = ""
     withdrawn: bool = False
     """It is to go: no start is sent any more, and a stop when it is listed."""
+    replaced: bool = False
+    """Withdrawn by itself: its gang waits, and another place is found for it."""
     grace_s: float = 0.0
     answered_at: int = 0
     """Tally of the last check-in whose answer carried its start."""
@@ -62,6 +64,11 @@
     placed_at: Seconds = LONG_AGO
     running_since: Seconds | None = None
 
+    @property
+    def key(self) -> AttemptKey:
+        """What it is known by on its machine."""
+        return (self.task, self.attempt)
+
 
 @dataclass(slots=True)
 class Machine:
--- a/src/crosscleat/core/reports.py
+++ b/src/crosscleat/core/reports.py
@@ -9,16 +9,36 @@
 EXITED = "exited"
 RUNNING = "running"
 FETCHING = "fetching"
+WAITING = "waiting"
+"""A gang's task that has its image and waits for the others."""
+SAVING = "saving"
+STATES = frozenset((EXITED, RUNNING, FETCHING, WAITING, SAVING))
+
+DONE = "done"
+STOPPED = "stopped"
+ERROR = "error"
+NO_ROOM = "no_room"
+MATES_GONE = "mates_gone"
+"""Another task of the running gang was gone."""
+INCOMPLETE = "incomplete"
+"""The gang was not complete in time."""
+CAUSES = frozenset((DONE, STOPPED, ERROR, NO_ROOM, "busy", "no_such", MATES_GONE, INCOMPLETE))
 
 
 class TaskReport(msgspec.Struct, frozen=True):
+    """One task in a worker's report."""
+
     task: TaskId
     attempt: Attempt
     state: str
     cause: str | None
+    saved: bool = False
+    """It exited after its progress was saved."""
 
 
 class Report(msgspec.Struct, frozen=True):
+    """A worker's report."""
+
     machine: MachineId
     address: str
     type: TypeName
@@ -30,6 +50,13 @@
     tasks: tuple[TaskReport, ...]
 
 
+def unknown_words(report: Report) -> set[str]:
+    """States and causes in the report that this version does not know."""
+    states = {task.state for task in report.tasks} - STATES
+    causes = {task.cause for task in report.tasks if task.cause is not None} - CAUSES
+    return states | causes
+
+
 class ListedMachine(msgspec.Struct, frozen=True):
     """A machine as the cloud's list shows it, some seconds late."""
 
--- a/src/crosscleat/core/reservations.py
+++ b/src/crosscleat/core/reservations.py
@@ -10,7 +10,7 @@
 import math
 from collections.abc import Callable, Iterable
 
-from .capacity import MachineGroup, Reservation, Room
+from .capacity import MachineGroup, Reservation, Room, fitting
 from .ids import Seconds, TypeName, Zone
 from .jobs import Job
 from .placements import Machine
@@ -39,8 +39,8 @@
         if not team_admits(job):
             continue
         able = [group for group in groups if _large_on(job, group.machine, scorer)]
-        if job.gang and job.spec.one_zone and able:
-            able = _zone_with_most_room(able)
+        if job.gang:
+            able = _able_to_hold_all(job, able)
         most = max(1, int(RESERVED_SHARE * sum(len(group.rooms) for group in able)))
         count = most - sum(group.reserved for group in able)
         count = min(count, _machines_needed(job, able, scorer))
@@ -69,13 +69,28 @@
     return (share * job.spec.tasks if job.gang else share) >= LARGE_SHARE
 
 
-def _zone_with_most_room(groups: list[MachineGroup]) -> list[MachineGroup]:
-    free_in: dict[Zone, float] = {}
+def _able_to_hold_all(job: Job, groups: list[MachineGroup]) -> list[MachineGroup]:
+    """Where the whole gang would fit if all were empty, in the zone with the most room if it must
+    be in one. Nothing is reserved for a gang that fits nowhere."""
+    if not job.spec.one_zone:
+        return groups if _most_tasks(job, groups) >= job.waiting_count() else []
+    by_zone: dict[Zone, list[MachineGroup]] = {}
     for group in groups:
-        zone, cpus = group.machine.zone, sum(room.cpus for room in group.rooms)
-        free_in[zone] = free_in.get(zone, 0.0) + cpus
-    best = max(free_in, key=lambda zone: free_in[zone])
-    return [group for group in groups if group.machine.zone == best]
+        by_zone.setdefault(group.machine.zone, []).append(group)
+    enough = [zone for zone in by_zone.values() if _most_tasks(job, zone) >= job.waiting_count()]
+    return max(enough, key=_free_cpus, default=[])
+
+
+def _most_tasks(job: Job, groups: list[MachineGroup]) -> int:
+    """How many of the job's tasks the machines would hold if they were empty."""
+    kinds = ((group.machine.type, len(group.rooms)) for group in groups)
+    return sum(
+        count * fitting(job.spec, kind.cpus, kind.memory_gb, kind.gpus) for kind, count in kinds
+    )
+
+
+def _free_cpus(groups: list[MachineGroup]) -> float:
+    return sum(room.cpus for group in groups for room in group.rooms)
 
 
 def _machines_needed(job: Job, able: list[MachineGroup], scorer: Scorer) -> int:
--- a/src/crosscleat/core/rounds.py
+++ b/src/crosscleat/core/rounds.py
@@ -14,7 +14,7 @@
 
 from .capacity import Choice, Reservation, Room, fetch_time, troubled
 from .feasibility import Feasibility
-from .gang_placement import place_gang
+from .gang_placement import GangPlacer
 from .ids import JobRef, MachineId, Seconds, Team, TypeName
 from .jobs import Job
 from .model import TeamLimits
@@ -56,6 +56,7 @@
         self._now = now
         self._threshold = drop_threshold
         self._feasible = Feasibility(ledger, teams, now, urgent_reserve)
+        self._gangs = GangPlacer(self._feasible, scorer, now)
         self._open: list[Room] = []
         """Those that could have at least the smallest task."""
         self._ranked: dict[JobRef, deque[tuple[float, Room]]] = {}
@@ -115,6 +116,15 @@
             if room.reservation is not None
         }
 
+    def complete_gang(self, job: Job, machines: Iterable[Machine], left_s: float) -> list[Choice]:
+        """Places for the tasks that a waiting gang lacks, which can start within `left_s`."""
+        self._feasible.add_machines(machines)
+        self._open_rooms([job])
+        self._sample = len(self._open)
+        self._scorer.max_cost = self._max_cost([job])
+        rooms = self._gangs.complete(job, [room for _, room in self._rank(job)], left_s)
+        return [Choice(job.ref, room.machine.id) for room in rooms]
+
     def _reserve(self, waiting: list[Job]) -> None:
         reserve_machines(
             self._feasible.rooms, waiting, self._scorer, self._now, self._feasible.team_admits
@@ -133,7 +143,7 @@
         while self._heap and len(choices) < most:
             *_, job, room = heapq.heappop(self._heap)
             if job.gang:
-                rooms = place_gang(job, [room for _, room in self._rank(job)], self._feasible)
+                rooms = self._gangs.place(job, [room for _, room in self._rank(job)])
                 choices.extend(Choice(job.ref, room.machine.id) for room in rooms)
                 continue
             # The pair may be stale: its room or its team's quota may have gone to others.
@@ -201,7 +211,7 @@
             if score is None:
                 # What may be late by a loss goes to ordinary machines, as if those cost the same.
                 spot = machine.spot or job.at_risk
-                score = self._scorer.score(job.spec, age, machine.type, spot, fetch_s)
+                score = self._scorer.score(job, age, machine.type, spot, fetch_s)
                 # Among near equals the fuller machine: others empty and can be returned, and
                 # large rooms stay whole for large tasks.
                 score = scores[key] = -round(score, 2)
@@ -212,13 +222,13 @@
     def _best_utility(self, job: Job) -> float:
         """Paper section 3.3: what the task could earn if it started now."""
         age = self._now - job.submitted
-        return self._scorer.utility(job.spec, age, age + self._scorer.run_s(job.spec))
+        return self._scorer.utility(job.spec, age, age + self._scorer.remaining_s(job))
 
     def _max_cost(self, waiting: list[Job]) -> float:
         machines = (room.machine for room in self._feasible.rooms)
         kinds = {(machine.type.name, machine.spot): machine for machine in machines}
         costs = (
-            self._scorer.cost(job.spec, m.type, m.spot, fetch_time(job.spec, m.type))
+            self._scorer.cost(job, m.type, m.spot, fetch_time(job.spec, m.type))
             for job in waiting
             for m in kinds.values()
         )
--- a/src/crosscleat/core/scoring.py
+++ b/src/crosscleat/core/scoring.py
@@ -6,6 +6,7 @@
 from collections import deque
 
 from .ids import Seconds
+from .jobs import Job
 from .model import Deployment, JobSpec, MachineType, Priority
 
 PEAKS = {
@@ -46,7 +47,7 @@
     """(1 - wf) * utility / max utility - wf * cost / max cost, paper section 3.2, eq. 1."""
 
     def __init__(self, deployment: Deployment, run_times: RunTimes) -> None:
-        self._deployment = deployment
+        self.deployment = deployment
         self._run_times = run_times
         self._limits: dict[str, float | None] = {}
         self._starts: dict[str, tuple[float, ...]] = {}
@@ -58,7 +59,7 @@
         if job.deadline_s is not None:
             return job.deadline_s
         if job.job_class not in self._limits:
-            limits = self._deployment.class_limits("finished", job.job_class)
+            limits = self.deployment.class_limits("finished", job.job_class)
             self._limits[job.job_class] = min(limits, default=None)
         limit = self._limits[job.job_class]
         return limit if limit is not None else 60.0 + 3.0 * self._run_times.estimate(job)
@@ -67,7 +68,7 @@
         """The times after submission by which the aims want it done, the first one first."""
         if job.deadline_s is not None:
             return [job.deadline_s]
-        return sorted(self._deployment.class_limits("finished", job.job_class))
+        return sorted(self.deployment.class_limits("finished", job.job_class))
 
     def utility(self, job: JobSpec, start_age: float, completion_age: float) -> float:
         """Monotonically decreasing in both ages: slowly until due, then quickly.
@@ -86,7 +87,7 @@
     def _start_limits(self, job_class: str) -> tuple[float, ...]:
         limits = self._starts.get(job_class)
         if limits is None:
-            limits = self._starts[job_class] = self._deployment.class_limits("wait", job_class)
+            limits = self._starts[job_class] = self.deployment.class_limits("wait", job_class)
         return limits
 
     def run_s(self, job: JobSpec) -> float:
@@ -100,13 +101,20 @@
             job.memory_gb / machine.memory_gb if machine.memory_gb else 0.0,
         )
 
-    def cost(self, job: JobSpec, machine: MachineType, spot: bool, fetch_s: float) -> float:
+    def remaining_s(self, job: Job) -> float:
+        """Estimated run time of the job's next attempt, which goes on from saved progress."""
+        return max(0.1, self.run_s(job.spec) - job.progress.saved_s)
+
+    def cost(self, job: Job, machine: MachineType, spot: bool, fetch_s: float) -> float:
+        """Of one task there, from its start to its end."""
         rate = machine.price_for(spot) / 3600.0
-        return (self.run_s(job) + fetch_s) * rate * self.share(job, machine)
+        return (self.remaining_s(job) + fetch_s) * rate * self.share(job.spec, machine)
 
     def score(
-        self, job: JobSpec, age: Seconds, machine: MachineType, spot: bool, fetch_s: float
+        self, job: Job, age: Seconds, machine: MachineType, spot: bool, fetch_s: float
     ) -> float:
-        utility = self.utility(job, age + fetch_s, age + fetch_s + self.run_s(job))
+        """Of one task there, if it starts after `fetch_s`."""
+        completion_age = age + fetch_s + self.remaining_s(job)
+        utility = self.utility(job.spec, age + fetch_s, completion_age)
         cost = self.cost(job, machine, spot, fetch_s)
         return (1.0 - self.weight) * utility / MAX_UTILITY - self.weight * cost / self.max_cost
--- a/src/crosscleat/wire/workers.py
+++ b/src/crosscleat/wire/workers.py
@@ -14,7 +14,8 @@
 STATES = {
     "pulling": reports.FETCHING,
     "running": reports.RUNNING,
-    "flushing": "saving",
+    "waiting": reports.WAITING,
+    "flushing": reports.SAVING,
     "exited": reports.EXITED,
 }
 
@@ -24,6 +25,7 @@
     attempt: int
     status: str
     cause: str | None = None
+    saved: Any = None
 
 
 class CheckIn(msgspec.Struct):
@@ -55,7 +57,8 @@
         task = TaskId.parse(pick.pick)
         if task is not None:
             state = STATES.get(pick.status, pick.status)
-            tasks.append(TaskReport(task, Attempt(pick.attempt), state, pick.cause))
+            attempt = Attempt(pick.attempt)
+            tasks.append(TaskReport(task, attempt, state, pick.cause, pick.saved is True))
     return Report(
         machine=MachineId(raw.box),
         address=raw.addr,
