--- a/src/crosscleat/core/capacity.py
+++ b/src/crosscleat/core/capacity.py
@@ -44,6 +44,8 @@
     fetching_s: float = 0.0
     """Until its image fetches are over; set for machines with room only."""
     reservation: Reservation | None = None
+    ordinary_only: bool = False
+    """Left to work that may not use spot machines."""
 
     @classmethod
     def of(cls, machine: Machine) -> Room:
--- a/src/crosscleat/core/feasibility.py
+++ b/src/crosscleat/core/feasibility.py
@@ -76,6 +76,8 @@
             precedes = job.spec.priority > reservation.priority
             if not precedes or waited >= RESERVED_FROM_ALL_S:
                 return True
+        if room.ordinary_only and job.spec.spot:
+            return True
         if not self._leaves_urgent_reserve(job, 1):
             return True
         return room.machine.id in job.failed_on and not self._failed_everywhere(job)
--- a/src/crosscleat/core/fleet.py
+++ b/src/crosscleat/core/fleet.py
@@ -23,6 +23,10 @@
 DEAR_IDLE_S = 4.0
 SERVED_S = 90.0
 """Tasks without a home for so long have machines rented for them even if dear and late."""
+SLOWEST_BOOT = 1.5
+"""The longest usual boot, as a multiple of what the machine type says."""
+BOOT_SLACK_S = 2.0
+"""For the rental request itself and the first report."""
 LEAST_CHARGE_S = 60.0
 """A machine that is deleted costs at least so long."""
 
@@ -230,7 +234,7 @@
             (job for job in jobs if job.waiting_count() > 0 and not troubled(job)),
             key=lambda job: (-job.spec.priority, job.submitted),
         )
-        usable = [m for m in machines if not (m.dropping or m.suspect or m.recall_at is not None)]
+        usable = [m for m in machines if self._counts(m, now)]
         used = dict(team_cpus)
         current = sum(team_cpus.values())
         homeless: list[tuple[Job, int]] = []
@@ -273,6 +277,17 @@
             or self._safe_room(self.ordinary_cpus(now) - ordinary(usable), now)
         )
 
+    def _counts(self, machine: Machine, now: Seconds) -> bool:
+        """Whether it is reckoned as room: up, or to come up in the usual time.
+
+        One that takes longer may take several times as long, and work would wait for it.
+        """
+        if machine.dropping or machine.suspect or machine.recall_at is not None:
+            return False
+        if machine.up or machine.listed_running:
+            return True
+        return now - machine.born <= SLOWEST_BOOT * machine.type.boot_s + BOOT_SLACK_S
+
     def _for_tasks(self, homeless: list[tuple[Job, int]], now: Seconds) -> Wanted | None:
         """Machines of one pool for all the tasks that are best housed there."""
         wanted: PoolKey | None = None
--- a/src/crosscleat/core/leader.py
+++ b/src/crosscleat/core/leader.py
@@ -911,6 +911,7 @@
                 self._enter(machine, now)
             self._describe(machine, entry.type, entry.zone, entry.spot)
             machine.listed = True
+            machine.listed_running = entry.state == "running"
             machine.address = machine.address or entry.address
             machine.born = min(machine.born, Seconds(now - entry.age_s))
             if not machine.up and entry.state == "running":
@@ -1019,6 +1020,7 @@
             now,
             self.knobs.drop_threshold,
             self.reserve(),
+            self.fleet.firm.one_job(),
         )
 
     def _plannable(self) -> Iterator[Job]:
@@ -1037,6 +1039,8 @@
         if not parts.keys() - {self.deployment.member}:
             return
         machines = [m for m in self.ledger.machines.values() if self.usable(m, now)]
+        left = self._new_round(now).left_to_ordinary_work(machines)
+        machines = [machine for machine in machines if machine.id not in left]
         reservations = self._new_round(now).reservations(self._plannable(), machines)
         shares = shares_of(parts, self.deployment.teams, self.ledger)
         self._part_number += 1
--- a/src/crosscleat/core/placements.py
+++ b/src/crosscleat/core/placements.py
@@ -81,6 +81,8 @@
     up: bool = False
     listed: bool = False
     """The cloud's list has named it."""
+    listed_running: bool = False
+    """The cloud's list has named it as running: it has booted, heard of or not."""
     seen: Seen = NEVER
     checked: int = 0
     """Tally of the newest check-in; answers to direct orders count in `seen` alone."""
--- a/src/crosscleat/core/reservations.py
+++ b/src/crosscleat/core/reservations.py
@@ -48,6 +48,26 @@
             _reserve(job, able, count)
 
 
+def reserve_ordinary(rooms: Iterable[Room], cpus: float) -> None:
+    """Leave so much room on ordinary machines to work that may use no others.
+
+    In one zone, where most of it is free: a gang often has to be in one.
+    """
+    if cpus <= 0.0:
+        return
+    by_zone: dict[Zone, list[Room]] = {}
+    for room in rooms:
+        if not room.machine.spot and room.cpus > 0.0:
+            by_zone.setdefault(room.machine.zone, []).append(room)
+    best = max(by_zone.values(), key=lambda found: sum(room.cpus for room in found), default=[])
+    # Small machines first: large ones are left to large tasks.
+    for room in sorted(best, key=lambda room: (room.machine.type.cpus, -room.cpus)):
+        if cpus <= 0.0:
+            return
+        room.ordinary_only = True
+        cpus -= room.cpus
+
+
 def _groups(rooms: Iterable[Room]) -> list[MachineGroup]:
     """Machines of a kind are alike to a job: it looks at each kind once, not at each machine."""
     groups: dict[tuple[TypeName, Zone, bool], MachineGroup] = {}
--- a/src/crosscleat/core/rounds.py
+++ b/src/crosscleat/core/rounds.py
@@ -19,7 +19,7 @@
 from .jobs import Job
 from .model import TeamLimits
 from .placements import Ledger, Machine
-from .reservations import reserve_machines
+from .reservations import reserve_machines, reserve_ordinary
 from .scoring import Scorer
 
 MOST_PAIRS = 12_000
@@ -50,11 +50,13 @@
         now: Seconds,
         drop_threshold: float,
         urgent_reserve: float,
+        ordinary_reserve: float = 0.0,
     ) -> None:
         self._scorer = scorer
         self._rng = rng
         self._now = now
         self._threshold = drop_threshold
+        self._ordinary_reserve = ordinary_reserve
         self._feasible = Feasibility(ledger, teams, now, urgent_reserve)
         self._gangs = GangPlacer(self._feasible, scorer, now)
         self._open: list[Room] = []
@@ -80,6 +82,7 @@
         if not waiting:
             return []
         self._feasible.add_machines(machines)
+        reserve_ordinary(self._feasible.rooms, self._ordinary_reserve)
         self._open_rooms(waiting)
         if not self._open:
             return []
@@ -125,6 +128,12 @@
         rooms = self._gangs.complete(job, [room for _, room in self._rank(job)], left_s)
         return [Choice(job.ref, room.machine.id) for room in rooms]
 
+    def left_to_ordinary_work(self, machines: Iterable[Machine]) -> set[MachineId]:
+        """Machines whose room is left to work that may not use spot machines."""
+        self._feasible.add_machines(machines)
+        reserve_ordinary(self._feasible.rooms, self._ordinary_reserve)
+        return {room.machine.id for room in self._feasible.rooms if room.ordinary_only}
+
     def _reserve(self, waiting: list[Job]) -> None:
         reserve_machines(
             self._feasible.rooms, waiting, self._scorer, self._now, self._feasible.team_admits
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -35,6 +35,7 @@
     machines = [Machine(MachineId(f"m-{n}"), TYPES[1], Zone("a"), True) for n in range(count)]
     for one in machines:
         one.used_cpus = 8.0
+        one.up = True
     return machines
 
 
@@ -72,12 +73,20 @@
 
 
 def test_tasks_count_on_room_that_is_there_or_boots() -> None:
-    booting = Machine(MachineId("m-0"), TYPES[1], Zone("a"), True)
+    booting = Machine(MachineId("m-0"), TYPES[1], Zone("a"), True, born=Seconds(NOW - 3.0))
     assert want(fleet(), [waiting(30.0, tasks=4, cpus=2.0)], [booting]) is None
     found = want(fleet(), [waiting(30.0, tasks=6, cpus=2.0)], [booting])
     assert found == Wanted(PoolKey(TypeName("small"), Zone("a"), True), 1)
 
 
+def test_a_machine_that_boots_for_unusually_long_is_no_room() -> None:
+    late = Machine(MachineId("m-0"), TYPES[1], Zone("a"), True, born=Seconds(NOW - 12.0))
+    work = [waiting(30.0, tasks=4, cpus=2.0)]
+    assert want(fleet(), work, [late]) is not None
+    late.listed_running = True
+    assert want(fleet(), work, [late]) is None, "it is up, only not heard of in this term"
+
+
 def test_idle_dear_machines_are_returned_before_the_warm_room_on_cheap_ones() -> None:
     made = fleet()
     cheap = Machine(MachineId("m-0"), TYPES[1], Zone("a"), True)
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -76,7 +76,7 @@
 def test_ordinary_machines_are_kept_for_what_is_nearly_always_at_risk() -> None:
     made = Fleet(Knobs(headroom=0.0, swings=0.0), lambda _: 60.0, lambda job: job.spec.estimate_s)
     made.types = {kind.name: kind for kind in TYPES}
-    cheap = [Machine(MachineId(f"m-{n}"), TYPES[1], Zone("a"), True) for n in range(10)]
+    cheap = [Machine(MachineId(f"m-{n}"), TYPES[1], Zone("a"), True, up=True) for n in range(10)]
 
     def wanted(at: float, risky_cpus: float) -> Wanted | None:
         return made.wanted([], TEAMS, {Team("blue"): 60.0}, cheap, Seconds(at), risky_cpus)
