Split the leader: term, writer, commands, machines, renting, gang control, work sharing

Behaviour stays. Tests name the parts' methods instead of the leader's private ones; their assertions are as they were.

--- a/src/crosscleat/core/controller.py
+++ b/src/crosscleat/core/controller.py
@@ -171,7 +171,7 @@
     def step(self, given: Input, now: Seconds, wall: WallTime) -> list[Effect]:
         self._now, self._wall = now, wall
         if self.leader is not None:
-            self.leader.now = now
+            self.leader.term.now = now
         match given:
             case Completed(then, results):
                 then(*results)
@@ -235,7 +235,7 @@
                 # Prices move: machines that are up refer to their type's object, so renew those.
                 self._types.update({kind.name: kind for kind in kinds})
                 if self.leader is not None:
-                    self.leader.types_changed()
+                    self.leader.machines.types_changed()
 
         self._out.add(ListTypes(listed))
 
@@ -288,7 +288,7 @@
             self._wall,
             self.upgrade.complete,
         )
-        leader.watched = asked
+        leader.term.watched = asked
         leader.load(live.items, work.items, drops.items, self._now)
         self.leader = leader
         self._out.note("info", f"leading with {len(leader.jobs)} jobs")
@@ -298,25 +298,25 @@
         opened = self._now
 
         def heard(news: News | None) -> None:
-            if leader.retired:
+            if leader.term.retired:
                 return
             if news is None:
                 self._out.add(Later(0.2, lambda: self._watch(leader, after)))
             elif news.lost:
                 self._reread(leader)
             else:
-                leader.watched = max(leader.watched, opened)
+                leader.term.watched = max(leader.term.watched, opened)
                 changes: list[Item] = [c for c in news.changes if c.key.startswith(LIVE)]
                 if changes:
                     leader.live_news(changes, self._now)
                 self._watch(leader, max(after, news.revision))
 
-        if not leader.retired:
+        if not leader.term.retired:
             self._out.add(Watch(LIVE, after, WATCH_S, heard))
 
     def _reread(self, leader: Leader) -> None:
         def scanned(listing: Listing | None) -> None:
-            if leader.retired:
+            if leader.term.retired:
                 return
             if listing is None:
                 self._reread(leader)
@@ -329,5 +329,5 @@
     def _lost(self, why: str) -> None:
         self._out.note("info", f"no longer leading: {why}")
         if self.leader is not None:
-            self.leader.retired = True
+            self.leader.term.retired = True
             self.leader = None
--- /dev/null
+++ b/src/crosscleat/core/gang_control.py
@@ -0,0 +1,148 @@
+"""What the leader does with gangs: complete those that wait, and stop those that can't go on."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+
+from .capacity import Choice
+from .gangs import OnNotice, Phase, may_replace, on_notice, phase_of
+from .ids import JobRef, Seconds
+from .jobs import Job
+from .placements import Hold, Ledger, Machine
+from .scoring import Scorer
+from .term import LeadingTerm
+
+
+def holds_of(ledger: Ledger, job: Job, but: int | None = None) -> Iterator[tuple[Machine, Hold]]:
+    """Where the job's tasks may be, leaving out the one with the number `but`."""
+    for stretch in job.stretches.values():
+        for number, placed in list(stretch.placed.items()):
+            found = ledger.find(job.ref, number, placed.attempt, placed.machine)
+            if found is not None and number != but:
+                yield found
+
+
+class GangControl:
+    """Gangs whose attempt lost a task, or is to end."""
+
+    def __init__(
+        self,
+        term: LeadingTerm,
+        jobs: dict[JobRef, Job],
+        ledger: Ledger,
+        scorer: Scorer,
+        withdraw: Callable[[Machine, Hold, float], None],
+        find_places: Callable[[Job, float], list[Choice]],
+        place: Callable[[Job, Machine], None],
+    ) -> None:
+        """`withdraw`: stop an attempt with so much time to save; `find_places`: for the tasks that
+        a gang lacks, startable in so many seconds; `place`: commit one of them."""
+        self._term = term
+        self._jobs = jobs
+        self._ledger = ledger
+        self._scorer = scorer
+        self._withdraw = withdraw
+        self._find_places = find_places
+        self._place = place
+        self._incomplete: dict[JobRef, Job] = {}
+        """Gangs that may still wait for a task that was lost."""
+
+    @property
+    def any_incomplete(self) -> bool:
+        """Whether a round has gangs to complete."""
+        return bool(self._incomplete)
+
+    def resume(self, job: Job) -> None:
+        """A gang as an earlier leader left it: whole, it goes on; else it is completed or ended.
+
+        Of one that is not whole on record no start was sent, or a part of it is gone.
+        """
+        if job.done_count:
+            job.finish_unplaced()
+        elif job.partly_placed:
+            # Its tasks may wait yet: decided once all its machines are heard of.
+            self._incomplete[job.ref] = job
+
+    def lost(self, job: Job, number: int, machine: Machine, cause: str | None) -> None:
+        """A task of the gang ended without result: it is replaced, or the attempt ends."""
+        if may_replace(cause, holds_of(self._ledger, job, but=number)):
+            job.progress.lost_on.add(machine.id)
+            self._incomplete[job.ref] = job
+        elif job.progress.stopped_at is None:
+            self._end_attempt(job)
+
+    def _end_attempt(self, job: Job) -> None:
+        """With no grace: progress since the last checkpoint is lost, or saved already."""
+        self.stop(job, 0.0)
+
+    def stop(self, job: Job, grace_s: float) -> None:
+        """All that is left of it is stopped at once, and placed anew together when the last is
+        proven gone."""
+        self._incomplete.pop(job.ref, None)
+        job.progress.stops(self._term.now)
+        going_on = [(m, hold) for m, hold in holds_of(self._ledger, job) if not hold.withdrawn]
+        for _, hold in going_on:
+            # All before any is found gone: the end of one must not end the attempt once more.
+            hold.withdrawn = True
+        for machine, hold in going_on:
+            self._withdraw(machine, hold, grace_s)
+
+    def complete(self, now: Seconds) -> None:
+        """Replace lost tasks of gangs that still wait, under the number of their attempt."""
+        for job in list(self._incomplete.values()):
+            if job.aborted or not job.partly_placed:
+                self._incomplete.pop(job.ref, None)
+                continue
+            phase = phase_of(holds_of(self._ledger, job))
+            if phase is Phase.UNHEARD or job.settling:
+                continue
+            self._incomplete.pop(job.ref, None)
+            if phase is not Phase.WAITING or not self._complete(job, now):
+                self._end_attempt(job)
+
+    def _complete(self, job: Job, now: Seconds) -> bool:
+        """Place the missing tasks where they can start while the others still wait."""
+        missing = job.spec.tasks - job.placed_count()
+        if missing != job.waiting_count():
+            return False
+        since = job.progress.waiting_since
+        waited_s = 0.0 if since is None else now - since
+        left_s = self._term.deployment.gang_wait_s - waited_s
+        for choice in self._find_places(job, left_s):
+            self._place(job, self._ledger.machines[choice.machine])
+        if job.placed_count() < job.spec.tasks:
+            return False
+        note = f"job {job.ref}: {missing} lost tasks of a waiting gang replaced"
+        self._term.out.note("info", note)
+        return True
+
+    def evacuate(self, machine: Machine, now: Seconds) -> None:
+        """Decide what becomes of the gangs on a machine that is to be taken back."""
+        if machine.recall_at is None:
+            return
+        for hold in list(machine.holds.values()):
+            job = self._jobs.get(hold.task.job)
+            if job is not None and job.gang and not job.aborted and not hold.replaced:
+                self._evacuate(job, machine, hold, machine.recall_at - now, now)
+
+    def _evacuate(
+        self, job: Job, machine: Machine, hold: Hold, notice_s: float, now: Seconds
+    ) -> None:
+        decision = on_notice(
+            job.spec,
+            list(holds_of(self._ledger, job)),
+            self._scorer.remaining_s(job) - job.progress.ran_s(now),
+            notice_s,
+            self._term.deployment,
+            now,
+        )
+        match decision:
+            case OnNotice.REPLACE:
+                hold.replaced = True
+                self._withdraw(machine, hold, 0.0)
+            case OnNotice.STOP_AND_SAVE:
+                self.stop(job, job.spec.save_s)
+            case OnNotice.STOP:
+                self.stop(job, 0.0)
+            case OnNotice.KEEP:
+                pass
--- /dev/null
+++ b/src/crosscleat/core/machines.py
@@ -0,0 +1,289 @@
+"""The machines of a term: how they become known, when they are returned, and what was deleted."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Iterable
+
+from .effects import DeleteMachines, ListMachines
+from .fleet import Fleet, PoolKey
+from .ids import MachineId, Seconds, TypeName, Version, Zone
+from .liveness import Liveness
+from .losses import Losses
+from .placements import NOWHERE, UNKNOWN_TYPE, Hold, Ledger, Machine
+from .records import DropRecords
+from .reports import ListedMachine, Report
+from .term import DRIFT, LeadingTerm
+
+LIST_S = 10.0
+"""How often the cloud's list is read."""
+LIST_WAIT_S = 2.0
+SOON_LIST_S = 3.0
+"""The same while it may soon tell of the end of machines that fell silent."""
+LISTED_BY_S = 60.0
+"""A machine that is missing from the list is gone only when it is older than that."""
+TOMBSTONE_S = 900.0
+"""For so long a deleted machine's old reports are known for what they are."""
+DROP_KEPT_S = 120.0
+"""For so long the store names a deleted machine, so that a successor knows them too."""
+MOST_DELETED = 100
+"""Names in one deletion."""
+DELETE_AGAIN_S = 4.0
+DELETE_FAILED_AGAIN_S = 1.0
+LEASE_SLACK_S = 0.2
+BOOT_TIMES = 4.0
+BOOT_EXTRA_S = 20.0
+"""A machine that is not up after four times its usual boot, and so much more, never comes up."""
+
+
+class Machines:
+    """Enters, describes, lists, returns and deletes the machines in the ledger."""
+
+    def __init__(
+        self,
+        term: LeadingTerm,
+        ledger: Ledger,
+        fleet: Fleet,
+        losses: Losses,
+        drops: DropRecords,
+        gone: Callable[[Machine, Hold], None],
+        dropped: Callable[[], None],
+        greet_later: Callable[[Iterable[Machine]], None],
+    ) -> None:
+        """`gone`: what a machine held is proven gone; `dropped`: a deletion is to be recorded."""
+        self._term = term
+        self._ledger = ledger
+        self._fleet = fleet
+        self._losses = losses
+        self._drops = drops
+        self._gone = gone
+        self._dropped = dropped
+        self._greet_later = greet_later
+        self._deleted_names: deque[tuple[Seconds, MachineId]] = deque()
+        """Machines that are deleted but still named in the store, and since when."""
+        self._listing = False
+        self._list_at = term.now
+        self._listed_at = term.now
+        self.tombstones: dict[MachineId, Seconds] = {}
+        """Machines that are gone, and since when: old reports of them may still arrive."""
+
+    # Becoming known
+
+    def enter(self, machine: Machine) -> None:
+        """A machine that this term did not know of."""
+        term = self._term
+        machine.born = machine.last_heard = term.now
+        machine.risk_token = term.began_token - 1
+        # An earlier leader's last contact was before our election.
+        machine.last_answer = Seconds(term.began + term.renew_s() * DRIFT)
+        self._ledger.machines[machine.id] = machine
+
+    def enter_recorded(self, machine_id: MachineId) -> Machine:
+        """The machine that a record names, which perhaps nobody has described yet."""
+        machine = self._ledger.machines.get(machine_id)
+        if machine is None:
+            machine = Machine(machine_id, UNKNOWN_TYPE, NOWHERE, False)
+            self.enter(machine)
+        return machine
+
+    def enter_rented(self, pool: PoolKey, machine_id: MachineId) -> None:
+        """A machine that a rental request of this term was answered with."""
+        if machine_id in self._ledger.machines or machine_id in self.tombstones:
+            return
+        machine = Machine(machine_id, self._fleet.types[pool.type], pool.zone, pool.spot)
+        self.enter(machine)
+        machine.known = True
+
+    def enter_reported(self, report: Report) -> Machine:
+        """The machine that sent the report."""
+        machine = self._ledger.machines.get(report.machine)
+        if machine is None:
+            machine = Machine(report.machine, UNKNOWN_TYPE, report.zone, report.spot)
+            self.enter(machine)
+        self.describe(machine, report.type, report.zone, report.spot)
+        machine.address = report.address
+        return machine
+
+    def describe(self, machine: Machine, kind: TypeName, zone: Zone, spot: bool) -> None:
+        """Take in what it is, unless that is known."""
+        if machine.type is not UNKNOWN_TYPE:
+            return
+        machine.type = self._fleet.types.get(kind, UNKNOWN_TYPE)
+        machine.spot = spot
+        if machine.zone != zone:
+            holds = list(machine.holds.values())
+            for hold in holds:
+                self._ledger.remove(machine, hold)
+            machine.zone = zone
+            for hold in holds:
+                hold.zone = zone
+                self._ledger.add(machine, hold)
+
+    def types_changed(self) -> None:
+        """Prices moved: machines refer to their type as it was described last."""
+        for machine in self._ledger.machines.values():
+            machine.type = self._fleet.types.get(machine.type.name, machine.type)
+
+    # The cloud's list
+
+    def list_if_due(self, now: Seconds, doubtful: bool) -> None:
+        """Read the list; sooner if it may tell of the end of machines that fell silent."""
+        if doubtful:
+            self._list_at = min(self._list_at, Seconds(self._listed_at + SOON_LIST_S))
+        if not self._listing and now >= self._list_at:
+            self._listed_at = now
+            self._list_at = Seconds(now + LIST_S)
+            self._listing = True
+            self._term.out.add(ListMachines(self.listed))
+
+    def listed(self, entries: list[ListedMachine] | None) -> None:
+        """Take in the list, some seconds old; None: there was no answer."""
+        self._listing = False
+        if entries is None or self._term.retired:
+            return
+        now = self._term.now
+        self._drop_missing({entry.id for entry in entries}, now)
+        known = (entry for entry in entries if entry.id not in self.tombstones)
+        unheard = [machine for entry in known if (machine := self._take_in(entry, now))]
+        # First those with the most room: work may wait for it.
+        self._greet_later(sorted(unheard, key=lambda machine: machine.used_cpus))
+
+    def _take_in(self, entry: ListedMachine, now: Seconds) -> Machine | None:
+        """The machine, if it runs and was not heard of in this term: ask, rather than wait for its
+        next check-in."""
+        machine = self._ledger.machines.get(entry.id)
+        if machine is None:
+            machine = Machine(entry.id, UNKNOWN_TYPE, entry.zone, entry.spot)
+            self.enter(machine)
+        self.describe(machine, entry.type, entry.zone, entry.spot)
+        machine.listed = True
+        machine.listed_running = entry.state == "running"
+        machine.address = machine.address or entry.address
+        machine.born = min(machine.born, Seconds(now - entry.age_s))
+        if entry.state == "failed":
+            self.drop(machine, "failed")
+        return machine if machine.listed_running and not machine.up else None
+
+    def _drop_missing(self, named: set[MachineId], now: Seconds) -> None:
+        """What was listed stays listed until it is gone; a list may only be older than another."""
+        quiet_s = self.liveness.quiet_s
+        for machine in self._ledger.machines.values():
+            if (
+                machine.listed
+                and machine.id not in named
+                and now - machine.born > LISTED_BY_S
+                and now - machine.last_heard > quiet_s
+            ):
+                self.drop(machine, "no longer listed")
+
+    # Watching them
+
+    liveness: Liveness
+    """Set by the leader, once both exist."""
+
+    def usable(self, machine: Machine, now: Seconds) -> bool:
+        """Whether tasks may be placed on it."""
+        return (
+            machine.up
+            and not machine.dropping
+            and not machine.suspect
+            and not machine.strays
+            and machine.recall_at is None
+            and machine.full_until <= now
+            and machine.type is not UNKNOWN_TYPE
+            and machine.known
+            and machine.deaf_since is None
+            and now - machine.last_heard < 1.25 * self._term.deployment.report_s + 1.0
+        )
+
+    def watch(self, machine: Machine, now: Seconds) -> None:
+        """Free what its lease no longer holds, and return it if it is gone, drained or late."""
+        self._end_lease(machine, now)
+        busy = bool(machine.holds or machine.exited or machine.strays)
+        if busy or not machine.up:
+            machine.idle_since = None
+        elif machine.idle_since is None:
+            machine.idle_since = now
+        if machine.dropping:
+            return
+        if machine.up:
+            if self.liveness.silent(machine, now):
+                machine.mute = True
+                self.drop(machine, f"silent for {now - machine.last_heard:.0f} s")
+            elif (machine.suspect or machine.recall_at is not None) and not machine.holds:
+                self.drop(machine, "drained")
+        elif machine.type is UNKNOWN_TYPE:
+            if now - machine.born > self.liveness.silent_s + LIST_WAIT_S:
+                self.drop(machine, "only on record, neither listed nor heard")
+        elif now > self._up_by(machine):
+            self.drop(machine, "never came up")
+
+    def _up_by(self, machine: Machine) -> float:
+        booted = machine.born + BOOT_TIMES * machine.type.boot_s + BOOT_EXTRA_S
+        return max(booted, self._term.began + self.liveness.silent_s)
+
+    def _end_lease(self, machine: Machine, now: Seconds) -> None:
+        lease_s = self._term.deployment.lease_s * DRIFT + LEASE_SLACK_S
+        if machine.holds and now > machine.last_answer + lease_s:
+            for hold in list(machine.holds.values()):
+                self._gone(machine, hold)
+
+    # Returning them
+
+    def drop(self, machine: Machine, why: str) -> None:
+        """Decide to delete it: recorded first, then final."""
+        if not machine.dropping:
+            machine.dropping = True
+            self._dropped()
+            self._term.out.note("info", f"machine {machine.id}: returned ({why})")
+
+    def delete_recorded(self, now: Seconds) -> None:
+        """Delete those whose deletion is on record."""
+        ready = [
+            machine
+            for machine in self._ledger.machines.values()
+            if machine.drop_recorded
+            and (machine.delete_sent is None or now - machine.delete_sent > DELETE_AGAIN_S)
+        ][:MOST_DELETED]
+        if not ready:
+            return
+        for machine in ready:
+            machine.delete_sent = now
+        names = tuple(machine.id for machine in ready)
+        self._term.out.add(DeleteMachines(names, lambda ok: self._deleted(ready, ok)))
+
+    def _deleted(self, machines: list[Machine], ok: bool) -> None:
+        now = self._term.now
+        if self._term.retired:
+            return
+        for machine in machines:
+            if not ok:
+                again_s = DELETE_AGAIN_S - DELETE_FAILED_AGAIN_S
+                machine.delete_sent = Seconds(now - again_s)
+                continue
+            for hold in list(machine.holds.values()):
+                self._gone(machine, hold)
+            if machine.mute:
+                self.liveness.given_up(machine, now)
+                if machine.spot:
+                    self._losses.taken()
+            self._ledger.machines.pop(machine.id, None)
+            self.tombstones[machine.id] = now
+            self._deleted_names.append((now, machine.id))
+
+    def forget_old(self, now: Seconds, writing: bool) -> list[tuple[str, Version]]:
+        """Forget what was deleted long ago; the records that name nothing more."""
+        old = [m for m, at in self.tombstones.items() if now - at > TOMBSTONE_S]
+        for machine_id in old:
+            del self.tombstones[machine_id]
+        obsolete = []
+        # Not under a write, which may be changing the very record.
+        while not writing and self._deleted_names:
+            deleted_at, machine_id = self._deleted_names[0]
+            if now - deleted_at <= DROP_KEPT_S:
+                break
+            self._deleted_names.popleft()
+            empty = self._drops.forget(machine_id)
+            if empty is not None and empty.version:
+                obsolete.append((empty.key, empty.version))
+        return obsolete
--- a/src/crosscleat/core/placements.py
+++ b/src/crosscleat/core/placements.py
@@ -20,6 +20,7 @@
     LONG_AGO,
     NEVER,
     Attempt,
+    JobRef,
     MachineId,
     Seconds,
     Seen,
@@ -30,6 +31,7 @@
     Zone,
 )
 from .model import JobSpec, MachineType
+from .reports import EXITED, TaskReport
 
 AttemptKey = tuple[TaskId, Attempt]
 
@@ -130,6 +132,27 @@
     direct_after: Seconds = LONG_AGO
     """A direct message failed: until then it hears of orders by its check-ins alone."""
 
+    def begin_session(self) -> None:
+        """Its lease ran out: what it did and heard before means nothing any more."""
+        self.exited.clear()
+        self.strays.clear()
+        self.direct_starts.clear()
+
+    def take_list(self, listed: dict[AttemptKey, TaskReport]) -> None:
+        """What the newest report says of tasks that no record knows, and of exited ones."""
+        self.exited = {
+            key: task.cause or "" for key, task in listed.items() if task.state == EXITED
+        }
+        if len(self.direct_starts) > 2 * len(listed) + 20:
+            self.direct_starts = {
+                key: token
+                for key, token in self.direct_starts.items()
+                if key in listed or key in self.holds
+            }
+        self.strays = {
+            key for key, task in listed.items() if task.state != EXITED and key not in self.holds
+        }
+
     def fits(self, job: JobSpec) -> bool:
         return (
             self.used_cpus + job.cpus <= self.type.cpus + 1e-9
@@ -185,6 +208,14 @@
         if machine.holds.pop((hold.task, hold.attempt), None) is not None:
             self._count(machine, hold, -1)
 
+    def find(
+        self, job: JobRef, number: int, attempt: Attempt, machine_id: MachineId
+    ) -> tuple[Machine, Hold] | None:
+        """The hold of this attempt on this machine."""
+        machine = self.machines.get(machine_id)
+        hold = machine and machine.holds.get((TaskId(job, number), attempt))
+        return (machine, hold) if machine and hold else None
+
     def _count(self, machine: Machine, hold: Hold, sign: int) -> None:
         job = hold.spec
         if machine.holds:
--- /dev/null
+++ b/src/crosscleat/core/writer.py
@@ -0,0 +1,237 @@
+"""The leader's transactions: what is written when, and what follows from each answer.
+
+Writes go out one transaction at a time, so that the versions they compare are known and a
+transaction without an answer is settled before the next: it is repeated until it is
+answered, and a conflict that could stem from our own earlier try ends this leadership.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Iterable
+
+from .batch import Batch
+from .effects import Commit, Committed, Conflict, Found, Item, NoSuchLease, Read
+from .ids import JobRef, Seconds, Token, Version
+from .jobs import Job, live_key
+from .placements import Ledger
+from .records import DropRecords, WorkRecord, WorkRecords
+from .term import LeadingTerm
+
+LAZY_S = 0.8
+"""How often what only spares a successor some work is written."""
+LAZY_WRITES = 4
+"""So many such writes at a time."""
+ENDS_WRITES = 6
+"""Writes that say which jobs have ended, at a time."""
+MOST_DROPS = 100
+"""Machines whose deletion one transaction records."""
+ROTATE_S = 3.0
+"""Least time between two new tokens."""
+
+Result = Committed | Conflict | NoSuchLease | None
+
+
+class Writer:
+    """Writes the records of jobs, placements and deletions."""
+
+    def __init__(
+        self,
+        term: LeadingTerm,
+        jobs: dict[JobRef, Job],
+        ledger: Ledger,
+        work: WorkRecords,
+        drops: DropRecords,
+        recorded: Callable[[Job, int], None],
+        void: Callable[[Job], None],
+        reread: Callable[[Item], None],
+        ended: Callable[[Job], None],
+    ) -> None:
+        """`recorded`: a task's place is on record; `void`: places of a job that are not on record
+        never will be; `reread`: a live record as it is now; `ended`: the job's end is on record."""
+        self._term = term
+        self._jobs = jobs
+        self._ledger = ledger
+        self._work = work
+        self._drops = drops
+        self._recorded = recorded
+        self._void = void
+        self._reread_item = reread
+        self._ended = ended
+        self._obsolete: deque[tuple[str, Version]] = deque()
+        """Records that say nothing any more, to be removed."""
+        self._unwritten = True
+        """Starts, ends or deletions may wait to be written; progress waits for its own time."""
+        self._ending: dict[JobRef, Job] = {}
+        """Jobs that are over, but for the transaction that says so."""
+        self._lazy_at = term.now
+        self._rotated_at = term.now
+        self.writing = False
+        """A transaction is under way."""
+
+    def changed(self) -> None:
+        """Something is to be written with the next transaction."""
+        self._unwritten = True
+
+    def see_end(self, job: Job) -> None:
+        """Write its end, if nothing more can happen to the job."""
+        if job.over():
+            self._ending[job.ref] = job
+
+    def remove(self, obsolete: Iterable[tuple[str, Version]]) -> None:
+        """Remove these records, a few at a time."""
+        self._obsolete.extend(obsolete)
+
+    def flush(self, now: Seconds, rotation_wanted: bool) -> bool:
+        """Send the next transaction, if none is under way; true if it is the token's rotation."""
+        token = self._term.election.token
+        if self.writing or self._term.retired or token is None:
+            return False
+        if rotation_wanted and now - self._rotated_at > ROTATE_S and self._rotate(now):
+            return True
+        lazy = now - self._lazy_at >= LAZY_S
+        if not lazy and not self._unwritten:
+            return False
+        self._unwritten = False
+        batch = self._urgent_batch(token, now)
+        if lazy:
+            self._lazy_at = now
+            self._add_lazy(batch)
+        if batch.writes:
+            self._write(batch)
+        return False
+
+    def _urgent_batch(self, token: Token, now: Seconds) -> Batch:
+        """The region's few writes a second go to starts first, then to deletions and to ends,
+        which users poll for."""
+        batch = Batch(token, self._term.deployment.txn_ops)
+        for record in self._work.urgent(now):
+            batch.record(record)
+        self._add_drops(batch)
+        batch.limit(ENDS_WRITES)
+        for job in self._ending.values():
+            if not job.settling and batch.room(2, 1):
+                batch.end(job)
+        return batch
+
+    def _add_lazy(self, batch: Batch) -> None:
+        """What only spares a successor some work, a little at a time."""
+        batch.limit(LAZY_WRITES)
+        for record in self._work.lazy():
+            self._add_lazily(batch, record)
+        while self._obsolete and batch.room(1, 1):
+            batch.remove(*self._obsolete.popleft())
+
+    def _add_drops(self, batch: Batch) -> None:
+        machines = self._ledger.machines.values()
+        found = [m for m in machines if m.dropping and not m.drop_recorded]
+        if found and batch.room(1, 1):
+            batch.drop_record, room = self._drops.open()
+            batch.drops = found[: min(room, MOST_DROPS)]
+            batch.put(batch.drop_record.put(m.id for m in batch.drops), batch.drop_record.version)
+
+    def _add_lazily(self, batch: Batch, record: WorkRecord) -> None:
+        if record.members:
+            batch.record(record)
+        elif not record.version:
+            self._work.removed(record)
+        elif batch.room(1, 1):
+            record.closing = True
+            batch.closing.append(record)
+            batch.remove(record.key, record.version)
+
+    def _write(self, batch: Batch) -> None:
+        self.writing = True
+        self._term.out.add(
+            Commit(
+                tuple(batch.conditions.items()),
+                tuple(batch.writes),
+                lambda result: self._answered(batch, result),
+            )
+        )
+
+    def _answered(self, batch: Batch, result: Result) -> None:
+        if self._term.retired:
+            return
+        if result is None:
+            # Perhaps carried out, perhaps later: nothing else is written until that is known.
+            self._write(batch)
+            return
+        self.writing = False
+        self._unwritten = True
+        if isinstance(result, Committed):
+            self._committed(batch, result.revision)
+        elif isinstance(result, Conflict) and self._only_live(batch, result):
+            self._put_back(batch, result.failed)
+        else:
+            self._term.election.resign("a write of ours met other versions than we know")
+
+    def _only_live(self, batch: Batch, conflict: Conflict) -> bool:
+        lives = {live_key(job.ref) for job in batch.jobs}
+        return not conflict.repeated and bool(conflict.failed) and conflict.failed <= lives
+
+    def _committed(self, batch: Batch, revision: Version) -> None:
+        for machine in batch.drops:
+            machine.drop_recorded = True
+        if batch.drop_record is not None:
+            batch.drop_record.version = revision
+            batch.drop_record.names.update((m.id, None) for m in batch.drops)
+        for record in batch.records:
+            record.version = revision
+        for record in batch.closing:
+            self._work.removed(record)
+        for job, stretch, recorded in batch.stretches:
+            fresh = recorded - stretch.recorded
+            stretch.recorded = recorded
+            for number, attempt, machine_id in fresh:
+                if job.is_current(number, attempt, machine_id):
+                    self._recorded(job, number)
+        self._work.written((job, stretch) for job, stretch, _ in batch.stretches)
+        for job in batch.ended:
+            del self._ending[job.ref]
+            self._work.forget(job)
+            self._ended(job)
+        self.remove(self._work.superseded())
+
+    def _put_back(self, batch: Batch, failed: frozenset[str]) -> None:
+        """A user cancelled meanwhile: that job's placements were never sent, so they are void."""
+        for record in batch.closing:
+            record.closing = False
+        for job in batch.jobs:
+            if live_key(job.ref) not in failed:
+                continue
+            self._void(job)
+            if batch.conditions[live_key(job.ref)] == job.version:
+                job.settling = True
+                self._reread(job)
+        for record in batch.records:
+            urgent = [
+                job.spec.priority
+                for job, stretch in record.members.values()
+                if stretch.unrecorded()
+            ]
+            record.want(max(urgent, default=None), self._term.now)
+
+    def _reread(self, job: Job) -> None:
+        def read(found: Found | None) -> None:
+            if found is not None and found.item is not None:
+                self._reread_item(found.item)
+            elif not self._term.retired and self._jobs.get(job.ref) is job and job.settling:
+                self._reread(job)
+
+        self._term.out.add(Read(live_key(job.ref), read))
+
+    def _rotate(self, now: Seconds) -> bool:
+        """Take a higher token, after which no direct message of before is executed."""
+        rotation = self._term.election.rotation()
+        if rotation is None:
+            return False
+        self.writing = True
+        self._rotated_at = now
+
+        def rotated(result: Result) -> None:
+            rotation.then(result)
+            self.writing = False
+
+        self._term.out.add(Commit(rotation.conditions, rotation.writes, rotated))
+        return True
--- a/tests/term.py
+++ b/tests/term.py
@@ -48,8 +48,8 @@
         self.leader.load(live or [], work or [], [], BEGAN)
 
     def step(self, seconds: float) -> None:
-        self.now = self.leader.now = Seconds(self.now + seconds)
-        self.leader.election.contact = self.leader.watched = self.now
+        self.now = self.leader.term.now = Seconds(self.now + seconds)
+        self.leader.election.contact = self.leader.term.watched = self.now
 
     def report(
         self,
@@ -77,7 +77,7 @@
 
     @property
     def usable(self) -> bool:
-        return self.leader.usable(self.leader.ledger.machines[MachineId("m-0")], self.now)
+        return self.leader.machines.usable(self.leader.ledger.machines[MachineId("m-0")], self.now)
 
     @property
     def dropping(self) -> bool:
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -9,6 +9,7 @@
 import pytest
 
 from crosscleat.core.effects import Answer, Commit, Committed, Direct, Item, StartOrder, StopOrder
+from crosscleat.core.gang_control import holds_of
 from crosscleat.core.gangs import GangProgress
 from crosscleat.core.ids import (
     Attempt,
@@ -228,6 +229,11 @@
         stretch.recorded = stretch.entered()
 
 
+def starts_for(term: Term, one: Machine) -> list[StartOrder]:
+    orders = term.leader.commands.orders(one, term.now, 1)
+    return [order for order in orders if isinstance(order, StartOrder)]
+
+
 def test_no_start_is_sent_while_a_place_is_not_on_record() -> None:
     term = gang_term()
     gang = term.leader.jobs[JobRef("job-g")]
@@ -236,10 +242,11 @@
     holds = list(one.holds.values())
     assert len(holds) == 2
     holds[0].recorded = True
-    assert not [o for o in term.leader._orders(one, term.now, 1) if isinstance(o, StartOrder)]
+    assert not [
+        o for o in term.leader.commands.orders(one, term.now, 1) if isinstance(o, StartOrder)
+    ]
     on_record(gang, one)
-    starts = [o for o in term.leader._orders(one, term.now, 1) if isinstance(o, StartOrder)]
-    assert len(starts) == 2
+    assert len(starts_for(term, one)) == 2
 
 
 def test_a_gang_takes_no_place_if_one_of_its_places_is_gone() -> None:
@@ -259,8 +266,8 @@
     term.leader._place_gang(gang, [one, one], term.now)
     for hold in one.holds.values():
         hold.recorded = hold.sent = hold.listed = True
-    term.leader._stop_gang(gang, 5.0)
-    stops = [o for o in term.leader._orders(one, term.now, 1) if isinstance(o, StopOrder)]
+    term.leader.gangs.stop(gang, 5.0)
+    stops = [o for o in term.leader.commands.orders(one, term.now, 1) if isinstance(o, StopOrder)]
     assert [stop.grace_s for stop in stops] == [5.0, 5.0]
     assert not any(isinstance(effect, Answer) for effect in term.out.take())
 
@@ -272,12 +279,12 @@
     term.leader._place_gang(gang, [one, one], term.now)
     on_record(gang, one)
     term.out.take()
-    term.leader._kick.add(one.id)
-    term.leader._send_direct(term.now)
+    term.leader.commands.kick(one.id)
+    term.leader.commands.send_direct(term.now)
     (start,) = [effect for effect in term.out.take() if isinstance(effect, Direct)]
     assert len(start.orders) == 2
     start.then(None, True)
-    term.leader._stop_gang(gang, 0.0)
+    term.leader.gangs.stop(gang, 0.0)
     term.step(2.0)
     term.hear((1, 3))
     term.hear((1, 4))
@@ -376,9 +383,8 @@
     term, gang = placed_on_two()
     term.hear((1, 1), machine="m-2")
     term.hear((1, 3), tasks=(reported(0, state),))
-    term.leader._gone(
-        *next(p for p in term.leader._holds_of(gang) if p[0].id == "m-1"), term.now, None
-    )
+    lost = next(placed for placed in holds_of(term.leader.ledger, gang) if placed[0].id == "m-1")
+    term.leader.gone(*lost, term.now, None)
     term.leader.settle(term.now)
     assert places(term)["m-2"] == ([] if state == "running" else [(1, 1)])
     assert places(term)["m-0"] == ([] if state == "running" else [(0, 1)])
@@ -480,7 +486,7 @@
     term.step(2.0)
     far.deaf_since, far.direct_after = None, Seconds(0.0)
     term.hear((1, 5), tasks=(reported(0, "running"),))
-    term.leader._watch_machines(term.now)
+    term.leader.watch_machines(term.now)
     assert stops(term) == {"job-g/0": 2.0, "job-g/1": 2.0}
 
 
@@ -491,7 +497,7 @@
     notice(term, "m-1", 4, 8.0, (reported(1, "running"),))
     term.step(5.5)
     term.hear((1, 5), machine="m-1", tasks=(reported(1, "running"),))
-    term.leader._watch_machines(term.now)
+    term.leader.watch_machines(term.now)
     assert stops(term) == {"job-g/0": 0.0, "job-g/1": 0.0}
 
 
@@ -545,10 +551,10 @@
     """One observation of 20 of 30 s, beside two pretended ones of 1.0."""
     term, gang = placed_on_two()
     checkpoints = msgspec.structs.replace(gang.spec, checkpoint_s=10.0)
-    for _, hold in list(term.leader._holds_of(gang)):
+    for _, hold in list(holds_of(term.leader.ledger, gang)):
         hold.spec, hold.attempt = checkpoints, Attempt(attempt)
         hold.running_since = Seconds(term.now - 20.0)
-        hold.placed_at = Seconds(term.leader.began + 0.1)
+        hold.placed_at = Seconds(term.leader.term.began + 0.1)
         term.leader._learn_run_time(hold, term.now)
         gang.done_count += 1
     assert term.leader.run_times.estimate(gang.spec) == pytest.approx(30.0 * learned)
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -15,8 +15,9 @@
     Token,
     Zone,
 )
-from crosscleat.core.leader import START_CONTACT_S, Leader
+from crosscleat.core.leader import Leader
 from crosscleat.core.reports import Report, TaskReport
+from crosscleat.core.term import START_CONTACT_S
 
 from .term import TOKEN, Term, held
 from .world import TYPES
@@ -63,7 +64,7 @@
     term = Term(*held(session=1))
     assert starts(term.hear((1, 1))) == 1
     # It may have been cancelled since; leases are still renewed, up to their own bound.
-    term.now = term.leader.now = Seconds(term.now + START_CONTACT_S + 0.5)
+    term.now = term.leader.term.now = Seconds(term.now + START_CONTACT_S + 0.5)
     assert starts(term.hear((1, 2))) == 0
     term.step(0.1)
     assert starts(term.hear((1, 3))) == 1
@@ -80,7 +81,7 @@
     term = Term()
     term.hear((1, 1))
     machine = term.leader.ledger.machines[MachineId("m-0")]
-    term.leader.drop(machine, "test")
+    term.leader.machines.drop(machine, "test")
     for recorded in (False, True):
         machine.drop_recorded = recorded
         term.step(0.1)
@@ -93,9 +94,9 @@
     names = []
     for token in (TOKEN, TOKEN + 1):
         term = Term()
-        term.leader.began_token = Token(token)
+        term.leader.term.began_token = Token(token)
         for _ in range(2):
             pool = PoolKey(TYPES[0].name, Zone("a"), True)
-            term.leader._rent(Wanted(pool, 1))
+            term.leader.renting.rent(Wanted(pool, 1))
         names += [effect.name for effect in term.out.take() if isinstance(effect, Rent)]
     assert len(names) == len(set(names)) == 4
--- a/tests/test_unheard.py
+++ b/tests/test_unheard.py
@@ -40,7 +40,7 @@
     term = Term()
     term.hear((1, 40))
     machine = term.leader.ledger.machines[MachineId("m-0")]
-    term.leader.drop(machine, "test")
+    term.leader.machines.drop(machine, "test")
     machine.drop_recorded = True
     term.leader.tick(term.now)
     (delete,) = [e for e in term.out.take() if isinstance(e, DeleteMachines)]
@@ -109,7 +109,7 @@
         ListedMachine(MachineId(f"m-{n}"), f"m-{n}", TYPES[1].name, Zone("a"), True, "running", 9)
         for n in range(5)
     ]
-    term.leader.listed(listed)
+    term.leader.machines.listed(listed)
     term.leader.tick(term.now)
     greetings = [effect for effect in term.out.take() if isinstance(effect, Direct)]
     assert len(greetings) == 5
@@ -240,7 +240,7 @@
     term = Term(*held(session=1))
     term.hear((1, 1))
     machine = term.leader.ledger.machines[MachineId("m-0")]
-    term.leader._kick.add(machine.id)
+    term.leader.commands.kick(machine.id)
     term.leader.settle(term.now)
     (start,) = [e for e in term.out.take() if isinstance(e, Direct) and e.orders]
     task = TaskReport(TaskId(JobRef("job-1"), 0), Attempt(1), "running", None)
@@ -323,7 +323,7 @@
         ListedMachine(MachineId(f"m-{n}"), f"m-{n}", TYPES[1].name, Zone("a"), True, "running", 9)
         for n in range(1000)
     ]
-    term.leader.listed(listed)
+    term.leader.machines.listed(listed)
     assert not any(isinstance(effect, Direct) for effect in term.out.take())
     greeted = []
     for _ in range(50):
