--- a/src/crosscleat/core/feasibility.py
+++ b/src/crosscleat/core/feasibility.py
@@ -18,6 +18,8 @@
 PATIENCE_S = 60.0
 """A job of which no task has been on a machine for so long may use whatever room there is: none
 waits for 90 s while a machine has room for it."""
+LARGE_SHARE = 0.3
+"""A task that takes so much of a machine finds no room where small ones take whatever is freed."""
 QUOTA_SHARE = 0.05
 """At most this part of a team's limit is left to urgent work."""
 
@@ -76,12 +78,16 @@
             precedes = job.spec.priority > reservation.priority
             if not precedes or waited >= RESERVED_FROM_ALL_S:
                 return True
-        if room.ordinary_only and job.spec.spot:
+        if room.ordinary_only and job.spec.spot and not self._large(job, room):
             return True
         if not self._leaves_urgent_reserve(job, 1):
             return True
         return room.machine.id in job.failed_on and not self._failed_everywhere(job)
 
+    def _large(self, job: Job, room: Room) -> bool:
+        """Whether a task of it needs much of the machine, and so finds few others."""
+        return job.spec.cpus >= LARGE_SHARE * room.machine.type.cpus
+
     def _leaves_urgent_reserve(self, job: Job, count: int) -> bool:
         if job.spec.priority >= Priority.HIGH:
             return True
--- a/src/crosscleat/core/reservations.py
+++ b/src/crosscleat/core/reservations.py
@@ -11,13 +11,12 @@
 from collections.abc import Callable, Iterable
 
 from .capacity import MachineGroup, Reservation, Room, fitting
+from .feasibility import LARGE_SHARE
 from .ids import Seconds, TypeName, Zone
 from .jobs import Job
 from .placements import Machine
 from .scoring import Scorer
 
-LARGE_SHARE = 0.3
-"""A task that takes so much of a machine finds no room where small ones take whatever is freed."""
 RESERVE_AFTER_S = 5.0
 """A job has machines reserved when it has waited so long."""
 RESERVED_SHARE = 0.3
