--- a/src/crosscleat/core/capacity.py
+++ b/src/crosscleat/core/capacity.py
@@ -31,6 +31,7 @@
     job: JobRef
     priority: Priority
     submitted: Seconds
+    gang: bool = False
 
 
 @dataclass(slots=True)
--- a/src/crosscleat/core/feasibility.py
+++ b/src/crosscleat/core/feasibility.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Iterable
 
-from .capacity import Room, fetch_time, within
+from .capacity import Reservation, Room, fetch_time, within
 from .ids import JobRef, MachineId, Seconds, Team, Zone
 from .jobs import Job
 from .model import Priority, TeamLimits
@@ -18,6 +18,8 @@
 PATIENCE_S = 60.0
 """A job of which no task has been on a machine for so long may use whatever room there is: none
 waits for 90 s while a machine has room for it."""
+GANG_AFTER_S = 3.0
+"""A gang that has waited so long goes before all others, and into room left to urgent work."""
 LARGE_SHARE = 0.3
 """A task that takes so much of a machine finds no room where small ones take whatever is freed."""
 QUOTA_SHARE = 0.05
@@ -62,6 +64,10 @@
         first = job.gang or job.ref not in self._taken
         return first and job.idle_s(self._now) > PATIENCE_S
 
+    def gang_is_due(self, job: Job) -> bool:
+        """Whether it is a gang that has waited for so long that it goes before all others."""
+        return job.gang and job.idle_s(self._now) > GANG_AFTER_S
+
     def admits(self, job: Job, room: Room) -> bool:
         """Whether the job's next task may go there."""
         if not room.fits(job) or not room.machine.allowed(job.spec):
@@ -73,23 +79,30 @@
     def _held_back(self, job: Job, room: Room) -> bool:
         """Whether the room is left to other work, or the job has failed there."""
         reservation = room.reservation
-        if reservation is not None and reservation.job != job.ref:
-            waited = self._now - reservation.submitted
-            precedes = job.spec.priority > reservation.priority
-            if not precedes or waited >= RESERVED_FROM_ALL_S:
-                return True
+        if reservation is not None and not self._may_use(job, reservation):
+            return True
         if room.ordinary_only and job.spec.spot and not self._large(job, room):
             return True
         if not self._leaves_urgent_reserve(job, 1):
             return True
         return room.machine.id in job.failed_on and not self._failed_everywhere(job)
 
+    def _may_use(self, job: Job, reservation: Reservation) -> bool:
+        """Whether the job may use a machine that is being emptied for this one."""
+        if reservation.job == job.ref:
+            return True
+        if self.gang_is_due(job):
+            # Its own turn has come; of two gangs the older has reserved what both would use.
+            return not reservation.gang
+        waited = self._now - reservation.submitted
+        return job.spec.priority > reservation.priority and waited < RESERVED_FROM_ALL_S
+
     def _large(self, job: Job, room: Room) -> bool:
         """Whether a task of it needs much of the machine, and so finds few others."""
         return job.spec.cpus >= LARGE_SHARE * room.machine.type.cpus
 
     def _leaves_urgent_reserve(self, job: Job, count: int) -> bool:
-        if job.spec.priority >= Priority.HIGH:
+        if job.spec.priority >= Priority.HIGH or self.gang_is_due(job):
             return True
         return self._free_cpus - count * job.spec.cpus >= self._urgent_reserve
 
--- a/src/crosscleat/core/reservations.py
+++ b/src/crosscleat/core/reservations.py
@@ -130,5 +130,5 @@
         if room.reservation is None
     )
     for *_, room, group in heapq.nsmallest(count, free):
-        room.reservation = Reservation(job.ref, job.spec.priority, job.submitted)
+        room.reservation = Reservation(job.ref, job.spec.priority, job.submitted, job.gang)
         group.reserved += 1
--- a/src/crosscleat/core/rounds.py
+++ b/src/crosscleat/core/rounds.py
@@ -31,8 +31,6 @@
 """Choices of one round; the next one goes on."""
 BEGIN_S = 100.0
 """A job that has waited so long begins next, whatever else there is to do."""
-GANG_AFTER_S = 3.0
-"""A gang that has waited so long goes before all others."""
 
 Candidate = tuple[float, float, int, Job, Room]
 """A job's best pair in the heap: negated score, negated age, order of entry, job, room."""
@@ -185,7 +183,7 @@
         """Its first task goes before all others: late work is worth little, and among ever new
         work that is worth more it would never begin. And a gang soon: what is freed or comes up for
         it would be taken by others one task at a time, while it must have all at once."""
-        if job.gang and job.idle_s(self._now) > GANG_AFTER_S:
+        if self._feasible.gang_is_due(job):
             return True
         age = self._now - job.submitted
         return age > BEGIN_S and not job.begun and not self._feasible.taken(job)
