--- a/src/crosscleat/core/feasibility.py
+++ b/src/crosscleat/core/feasibility.py
@@ -18,7 +18,7 @@
 PATIENCE_S = 60.0
 """A job of which no task has been on a machine for so long may use whatever room there is: none
 waits for 90 s while a machine has room for it."""
-GANG_AFTER_S = 3.0
+GANG_AFTER_S = 0.5
 """A gang that has waited so long goes before all others, and into room left to urgent work."""
 LARGE_SHARE = 0.3
 """A task that takes so much of a machine finds no room where small ones take whatever is freed."""
--- a/tests/test_formats.py
+++ b/tests/test_formats.py
@@ -14,7 +14,7 @@
 from crosscleat.core.effects import ClearOrder, Commit, Order, Put, Remove, StartOrder, StopOrder
 from crosscleat.core.ids import JobRef, LeaseId, Session, TaskId, Token, Version, WallTime
 from crosscleat.core.jobs import live_record, spec_of
-from crosscleat.core.model import JobSpec
+from crosscleat.core.model import JobSpec, Shape
 from crosscleat.core.parting import Proposal
 from crosscleat.wire import cloud, peers, state, users, workers
 
@@ -104,13 +104,16 @@
             continue
 
 
+SMALLEST = {
+    "ref": "job-1", "jobline": "a", "crew": "t", "shape": "array", "urgency": "low",
+    "picks": 1, "cores": 1.0, "gpus": 0.0, "memory_gb": 1.0, "kit": "i", "image_gb": 0.0,
+    "together": False, "apart": False, "loaners": False, "expect_s": 1.0,
+    "stash_every_s": 0.0, "stash_s": 0.0,
+}  # fmt: skip
+
+
 def test_the_size_limit_counts_json() -> None:
-    work = {
-        "ref": "job-1", "jobline": "a", "crew": "t", "shape": "array", "urgency": "low",
-        "picks": 1, "cores": 1.0, "gpus": 0.0, "memory_gb": 1.0, "kit": "i", "image_gb": 0.0,
-        "together": False, "apart": False, "loaners": False, "expect_s": 1.0,
-        "stash_every_s": 0.0, "stash_s": 0.0,
-    }  # fmt: skip
+    work = SMALLEST
     assert isinstance(users.parse_work(pack(work)), JobSpec)
     # 20,000 zeros take 20 kB packed and 40 kB as JSON; 40,000 take 80 kB.
     assert isinstance(users.parse_work(pack({**work, "x": [0] * 20_000})), JobSpec)
@@ -148,6 +151,36 @@
     assert all(t.state in (reports.RUNNING, "new") for t in report.tasks)
 
 
+@pytest.mark.parametrize("shape", ["gang", "service", "Ensemble", "", None, 1])
+def test_a_shape_that_is_neither_array_nor_ensemble_is_malformed(shape: Any) -> None:
+    work = {**SMALLEST, "shape": shape}
+    assert users.parse_work(pack(work)) == "job-1"
+    ensemble = users.parse_work(pack({**SMALLEST, "shape": "ensemble"}))
+    assert isinstance(ensemble, JobSpec) and ensemble.shape is Shape.GANG
+
+
+def test_a_gangs_report_says_what_waits_and_what_was_saved() -> None:
+    picks = [
+        {"pick": "job-g/0", "try": 3, "status": "waiting"},
+        {"pick": "job-g/1", "try": 3, "status": "exited", "cause": "stopped", "saved": True},
+        {"pick": "job-g/2", "try": 3, "status": "exited", "cause": "mates_gone"},
+        {"pick": "job-g/3", "try": 3, "status": "exited", "cause": "stopped", "saved": "yes"},
+    ]
+    body = {
+        "box": "m-1", "addr": "10.1.0.1:9000", "rig": "r", "yard": "a", "loaners": False,
+        "shift": 1, "tally": 4, "baton": 7, "picks": picks,
+    }  # fmt: skip
+    report = workers.parse_check_in(pack(body))
+    assert report is not None
+    assert [(t.state, t.cause, t.saved) for t in report.tasks] == [
+        (reports.WAITING, None, False),
+        (reports.EXITED, reports.STOPPED, True),
+        (reports.EXITED, reports.MATES_GONE, False),
+        (reports.EXITED, reports.STOPPED, False),
+    ]
+    assert not reports.unknown_words(report)
+
+
 def test_orders_are_written_in_the_protocols_words() -> None:
     orders: tuple[Order, ...] = (
         StartOrder("job-1/0", 2),
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -24,6 +24,7 @@
 from crosscleat.core.front import Front
 from crosscleat.core.ids import JobRef, Seconds, TypeName, Version, WallTime
 from crosscleat.core.jobs import live_record
+from crosscleat.core.model import Shape
 
 from .world import TYPES, deployment, job
 
@@ -58,6 +59,15 @@
         assert isinstance(read, Scan), "a repeat of an accepted job must never get 422"
 
 
+def test_an_ensemble_over_its_teams_limit_together_is_refused() -> None:
+    """Its array may run one task at a time; of an ensemble all must fit in the limit of 14."""
+    for shape, accepted in ((Shape.ARRAY, True), (Shape.GANG, False)):
+        (effect,) = submit(tasks=8, cpus=2.0, shape=shape)
+        assert isinstance(effect, Commit) == accepted
+    (effect,) = submit(tasks=7, cpus=2.0, shape=Shape.GANG)
+    assert isinstance(effect, Commit)
+
+
 def test_without_machine_types_nothing_is_decided() -> None:
     door, out = front(types=False)
     door.submit(1, job("job-1"), WallTime(0.0))
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -3,11 +3,13 @@
 
 from __future__ import annotations
 
+from random import Random
 from typing import Any
 
 import msgspec
 import pytest
 
+from crosscleat.core.capacity import Reservation
 from crosscleat.core.effects import Answer, Commit, Committed, Direct, Item, StartOrder, StopOrder
 from crosscleat.core.gang_control import holds_of
 from crosscleat.core.gangs import GangProgress
@@ -25,19 +27,21 @@
     WallTime,
 )
 from crosscleat.core.jobs import Job, live_record
-from crosscleat.core.model import Shape
-from crosscleat.core.placements import Machine
+from crosscleat.core.model import Priority, Shape
+from crosscleat.core.placements import Ledger, Machine
 from crosscleat.core.records import WorkRecords
 from crosscleat.core.reports import TaskReport
+from crosscleat.core.rounds import Round
 from crosscleat.core.scoring import RunTimes, Scorer
 
 from .term import TOKEN, Term
-from .test_rounds import machine, plan, waiting
+from .test_rounds import NOW, machine, plan, waiting
 from .world import (
     CANCEL_S,
     GANG_WAIT_S,
     LEASE_S,
     MEMBERS,
+    TEAMS,
     World,
     deployment,
     job,
@@ -611,3 +615,52 @@
     small = waiting("job-s", tasks=12, cpus=1.0)
     fleet = [machine("m-0", 1, "a"), machine("m-1", 1, "b")]
     assert len(plan([gang, small], fleet)) == 12
+
+
+def with_ordinary_reserve(jobs: list[Job], fleet: list[Machine], cpus: float) -> set[str]:
+    """The machines that a round takes, of which it leaves so many CPUs to ordinary work."""
+    scorer = Scorer(deployment("c0"), RunTimes())
+    found = Round(Ledger(), scorer, TEAMS, Random(1), NOW, 0.05, 0.0, cpus).plan(jobs, fleet, 100)
+    return {choice.machine for choice in found}
+
+
+def test_arrays_are_kept_off_the_last_ordinary_room_of_one_zone() -> None:
+    fleet = [machine(f"m-{n}", 1, zone, spot=False) for n, zone in enumerate("aab")]
+    small = waiting("job-s", tasks=12, cpus=1.0)
+    assert with_ordinary_reserve([small], fleet, 0.0) == {"m-0", "m-1"}
+    # Zone a has most of it, and one machine there is enough.
+    assert with_ordinary_reserve([small], fleet, 8.0) == {"m-1", "m-2"}
+    gang = waiting("job-g", tasks=4, cpus=1.0, spot=False, shape=Shape.GANG, team=Team("blue"))
+    assert with_ordinary_reserve([gang], fleet[:1], 8.0) == {"m-0"}
+    assert with_ordinary_reserve([small], fleet[:1], 8.0) == set()
+    large = waiting("job-l", tasks=1, cpus=4.0)
+    assert with_ordinary_reserve([large], fleet[:1], 8.0) == {"m-0"}, "it finds few others"
+    small.submitted = Seconds(NOW - 70.0)
+    assert with_ordinary_reserve([small], fleet[:1], 8.0) == {"m-0"}, "none waits for ever"
+
+
+def test_the_ordinary_room_is_kept_on_small_machines_first() -> None:
+    fleet = [machine("m-0", 1, "a", spot=False), machine("m-1", 0, "a", spot=False)]
+    small = waiting("job-s", tasks=2, cpus=1.0)
+    assert with_ordinary_reserve([small], fleet, 4.0) == {"m-0"}
+
+
+@pytest.mark.parametrize(("waited_s", "held_by_gang"), [(0.2, False), (10.0, False), (10.0, True)])
+def test_a_gang_that_is_due_goes_into_room_reserved_for_arrays(
+    waited_s: float, held_by_gang: bool
+) -> None:
+    """Seen: one waited 60 s beside room that a job of large tasks had reserved."""
+    gang = waiting("job-g", tasks=4, cpus=1.0, shape=Shape.GANG, team=Team("blue"))
+    gang.submitted = Seconds(NOW - waited_s)
+    held = Reservation(JobRef("job-l"), Priority.NORMAL, Seconds(NOW - 20.0), held_by_gang)
+    scorer = Scorer(deployment("c0"), RunTimes())
+    one = Round(Ledger(), scorer, TEAMS, Random(1), NOW, 0.05, 0.0)
+    found = one.plan([gang], [machine("m-0")], 100, {MachineId("m-0"): held})
+    assert len(found) == (4 if waited_s > 1.0 and not held_by_gang else 0)
+
+
+@pytest.mark.parametrize("waited_s", [0.2, 10.0])
+def test_a_gang_that_is_due_goes_into_room_left_to_urgent_work(waited_s: float) -> None:
+    gang = waiting("job-g", tasks=4, cpus=1.0, shape=Shape.GANG, team=Team("blue"))
+    gang.submitted = Seconds(NOW - waited_s)
+    assert len(plan([gang], [machine("m-0")], reserve=6.0)) == (4 if waited_s > 1.0 else 0)
--- a/tests/test_unheard.py
+++ b/tests/test_unheard.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from crosscleat.core.effects import Answer, ClearOrder, DeleteMachines, Direct, Orders
+from crosscleat.core.effects import Answer, ClearOrder, DeleteMachines, Direct, Note, Orders
 from crosscleat.core.ids import (
     Attempt,
     JobRef,
@@ -361,3 +361,20 @@
     hold.zone = shell.zone = Zone("a")
     ledger.add(shell, hold)
     assert not ledger.zone_allows(spec, Zone("a")) and ledger.zone_allows(spec, Zone("b"))
+
+
+def test_unknown_states_causes_and_fields_are_logged_once_and_end_nothing() -> None:
+    term = Term(*held(session=1))
+    term.hear((1, 1))
+    odd = TaskReport(TaskId(JobRef("job-1"), 0), Attempt(1), "dreaming", None)
+    ended = TaskReport(TaskId(JobRef("job-9"), 0), Attempt(1), "exited", "eaten")
+    notes = []
+    for tally in range(2, 6):
+        effects = term.hear((1, tally), tasks=(odd, ended))
+        notes += [effect.text for effect in effects if isinstance(effect, Note)]
+        assert any(isinstance(effect, Orders) for effect in effects)
+    assert [note for note in notes if "unknown words" in note] == [
+        "machine m-0 reports unknown words: 'dreaming', 'eaten'"
+    ]
+    machine = term.leader.ledger.machines[MachineId("m-0")]
+    assert machine.holds, "what is in an unknown state is on its machine"
