Standard terms: work partitioning, preemption statistics, user requests, chunks; tests by topic

What is stored or sent keeps its bytes (the literal samples of test_upgrade pass unchanged; span stays the record's name).

--- a/src/crosscleat/core/batch.py
+++ b/src/crosscleat/core/batch.py
@@ -5,7 +5,7 @@
 from .effects import Put, Remove
 from .election import LEADER
 from .ids import Version
-from .jobs import Job, RecordedPlacement, Stretch, ended_key, ended_record, live_key
+from .jobs import Chunk, Job, RecordedPlacement, ended_key, ended_record, live_key
 from .placements import Machine
 from .records import DropRecord, WorkRecord
 
@@ -26,7 +26,7 @@
         self.ended: list[Job] = []
         self.records: list[WorkRecord] = []
         self.closing: list[WorkRecord] = []
-        self.stretches: list[tuple[Job, Stretch, frozenset[RecordedPlacement]]] = []
+        self.chunks: list[tuple[Job, Chunk, frozenset[RecordedPlacement]]] = []
         self._most = most
         self._most_conditions = 4 * most
         self._bytes_left = MOST_BYTES
@@ -66,7 +66,7 @@
 
     def record(self, record: WorkRecord) -> None:
         """Write it, if there is room, comparing each job of which an attempt is new."""
-        starting = [job for job, stretch in record.members.values() if stretch.unrecorded()]
+        starting = [job for job, chunk in record.members.values() if chunk.unrecorded()]
         if record in self.records or record.size > self._bytes_left:
             return
         if not self.room(1, len(starting)):
@@ -76,7 +76,7 @@
             self._compare_job(job)
         self.put(Put(record.key, record.value()), record.version)
         self.records.append(record)
-        for job, stretch in record.members.values():
-            self.stretches.append((job, stretch, stretch.entered()))
+        for job, chunk in record.members.values():
+            self.chunks.append((job, chunk, chunk.entered()))
         record.dirty = False
         record.urgent = None
--- a/src/crosscleat/core/commands.py
+++ b/src/crosscleat/core/commands.py
@@ -108,8 +108,8 @@
         job = self._jobs.get(task.job)
         if job is None:
             return True
-        stretch = job.stretches.get(task.number // job.span)
-        return stretch is None or (task.number, attempt, machine.id) not in stretch.recorded
+        chunk = job.chunks.get(task.number // job.span)
+        return chunk is None or (task.number, attempt, machine.id) not in chunk.recorded
 
     def _want_rotation(self, machine: Machine) -> None:
         if machine.shown_token >= self._term.began_token:
--- a/src/crosscleat/core/controller.py
+++ b/src/crosscleat/core/controller.py
@@ -26,15 +26,15 @@
     Watch,
 )
 from .election import Election
-from .front import Front
 from .ids import LONG_AGO, JobRef, Member, Seconds, Token, TypeName, Version, WallTime
 from .jobs import FORMAT, LIVE
 from .leader import Leader
 from .model import Deployment, JobSpec, MachineType
-from .parting import Proposal, View, plan
+from .partitioning import Proposal, View, plan
 from .records import DROP, WORK, span_of
 from .reports import Report
 from .upgrade import Upgrade
+from .user_requests import UserRequests
 
 PROGRESS_S = 1.0
 TYPES_S = 60.0
@@ -156,7 +156,7 @@
         self._types_at = LONG_AGO
         self._progress_at = LONG_AGO
         self.upgrade = Upgrade(deployment.member, deployment.members, self._out, self._all_upgraded)
-        self.front = Front(
+        self.users = UserRequests(
             deployment, self._out, self._types, lambda: self._now, lambda: self.upgrade.complete
         )
         self.leader: Leader | None = None
@@ -193,15 +193,15 @@
                 if self.leader is not None:
                     self.leader.hear_directly(report)
             case Poll(request, ref):
-                self.front.poll(request, ref)
+                self.users.poll(request, ref)
             case Submit(request, spec):
-                self.front.submit(request, spec, wall)
+                self.users.submit(request, spec, wall)
             case Refuse(request, ref, status):
-                self.front.refuse(request, ref, status)
+                self.users.refuse(request, ref, status)
             case Abort(request, ref):
-                self.front.abort(request, ref)
+                self.users.abort(request, ref)
             case Progress(counts):
-                self.front.progress.update(counts)
+                self.users.progress.update(counts)
             case PartGiven(member, view):
                 proposal = plan(view, self.deployment, self._types, self._rng, now)
                 self._out.add(Propose(member, proposal))
@@ -231,7 +231,7 @@
             self._progress_at = Seconds(now + PROGRESS_S)
             counts = self.leader.progress()
             if counts:
-                self.front.progress.update(counts)
+                self.users.progress.update(counts)
                 self._out.add(Tell(counts))
 
     def _ask_types(self) -> None:
--- a/src/crosscleat/core/gang_control.py
+++ b/src/crosscleat/core/gang_control.py
@@ -15,8 +15,8 @@
 
 def holds_of(ledger: Ledger, job: Job, but: int | None = None) -> Iterator[tuple[Machine, Hold]]:
     """Where the job's tasks may be, leaving out the one with the number `but`."""
-    for stretch in job.stretches.values():
-        for number, placed in list(stretch.placed.items()):
+    for chunk in job.chunks.values():
+        for number, placed in list(chunk.placed.items()):
             found = ledger.find(job.ref, number, placed.attempt, placed.machine)
             if found is not None and number != but:
                 yield found
--- a/src/crosscleat/core/ids.py
+++ b/src/crosscleat/core/ids.py
@@ -22,7 +22,7 @@
 LeaseId = NewType("LeaseId", int)
 
 Seconds = NewType("Seconds", float)
-"""A point on, or a stretch of, this process's steady clock."""
+"""A point on, or a length of, this process's steady clock."""
 WallTime = NewType("WallTime", float)
 
 _JOB_REF = re.compile(r"job-[0-9A-Za-z._-]{1,120}\Z")
--- a/src/crosscleat/core/jobs.py
+++ b/src/crosscleat/core/jobs.py
@@ -1,9 +1,9 @@
 """Jobs as the leader holds them, and the records that keep jobs in the store.
 
 `live/<ref>` holds the spec and whether its user cancelled it, `ended/<ref>` the final
-outcome. A stretch of tasks, kept in one of the leader's records (`records`), says which are
+outcome. A chunk of tasks, kept in one of the leader's records (`records`), says which are
 done, and which attempt of the others may be on which machine. `format/<member>` says that this
-controller has come to the version that may write smaller stretches.
+controller has come to the version that may write smaller chunks.
 """
 
 from __future__ import annotations
@@ -33,7 +33,7 @@
 ENDED = "ended/"
 FORMAT = "format/"
 NEVER_TRIED = Attempt(0)
-STRETCH = 200
+CHUNK = 200
 """Tasks that are kept together where nothing says otherwise, and always before `format/`."""
 
 
@@ -83,7 +83,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class Stretch:
+class Chunk:
     """A job's `span` of consecutive tasks, kept together in one record."""
 
     number: int
@@ -113,7 +113,7 @@
     spec: JobSpec
     version: Version
     submitted: Seconds
-    span: int = STRETCH
+    span: int = CHUNK
     aborted: bool = False
     done: bytearray = field(default_factory=bytearray)
     done_count: int = 0
@@ -125,7 +125,7 @@
     failures: dict[int, int] = field(default_factory=dict)
     failed_on: set[MachineId] = field(default_factory=set)
     succeeded: bool = False
-    stretches: dict[int, Stretch] = field(default_factory=dict)
+    chunks: dict[int, Chunk] = field(default_factory=dict)
     gang_attempt: Attempt = NEVER_TRIED
     """The number before that of a gang's present attempt."""
     progress: GangProgress = field(default_factory=GangProgress)
@@ -133,7 +133,7 @@
     idle_since: Seconds = LONG_AGO
     """When the last of its tasks left its machine; before its submission: none was on one."""
     at_risk: bool = False
-    """The loss of a cheap machine may well make it late (`losses`)."""
+    """The loss of a cheap machine may well make it late (`preemption`)."""
     settling: bool = False
     """Its end is being written, or its live record changed under a write of ours."""
 
@@ -146,15 +146,15 @@
         """The job's id."""
         return self.spec.ref
 
-    def stretch_of(self, index: int) -> Stretch:
-        """The stretch that holds the task."""
-        return self._stretch(index // self.span)
+    def chunk_of(self, index: int) -> Chunk:
+        """The chunk that holds the task."""
+        return self._chunk(index // self.span)
 
-    def _stretch(self, number: int) -> Stretch:
-        stretch = self.stretches.get(number)
-        if stretch is None:
-            stretch = self.stretches[number] = Stretch(number)
-        return stretch
+    def _chunk(self, number: int) -> Chunk:
+        chunk = self.chunks.get(number)
+        if chunk is None:
+            chunk = self.chunks[number] = Chunk(number)
+        return chunk
 
     @property
     def gang(self) -> bool:
@@ -165,7 +165,7 @@
     def whole(self) -> bool:
         """Whether all of a gang's tasks may be on machines, as far as the store knows."""
         return self.placed_count() == self.spec.tasks and not any(
-            s.unrecorded() for s in self.stretches.values()
+            s.unrecorded() for s in self.chunks.values()
         )
 
     @property
@@ -184,7 +184,7 @@
 
     def placed_count(self) -> int:
         """Tasks that may be on a machine."""
-        return sum(len(s.placed) for s in self.stretches.values())
+        return sum(len(s.placed) for s in self.chunks.values())
 
     def idle_s(self, now: Seconds) -> float:
         """For how long no task of it has been on a machine."""
@@ -211,32 +211,32 @@
         else:
             index = self.fresh
             self.fresh += 1
-        stretch = self.stretch_of(index)
+        chunk = self.chunk_of(index)
         # All tasks of a gang's attempt have its number: by that they find each other.
-        before = self.gang_attempt if self.gang else stretch.tries.get(index, 0)
+        before = self.gang_attempt if self.gang else chunk.tries.get(index, 0)
         attempt = Attempt(before + 1)
-        stretch.tries[index] = attempt
-        stretch.placed[index] = Placement(attempt, machine, session)
+        chunk.tries[index] = attempt
+        chunk.placed[index] = Placement(attempt, machine, session)
         return TaskId(self.ref, index), attempt
 
     def _tried_last(self) -> Attempt:
         """The highest number that an attempt of any task has had."""
-        tries = (attempt for s in self.stretches.values() for attempt in s.tries.values())
+        tries = (attempt for s in self.chunks.values() for attempt in s.tries.values())
         return max(tries, default=NEVER_TRIED)
 
     def is_current(self, index: int, attempt: Attempt, machine: MachineId) -> bool:
         """Whether the task's present attempt has this number and is on this machine."""
-        stretch = self.stretches.get(index // self.span)
-        placement = stretch.placed.get(index) if stretch is not None else None
+        chunk = self.chunks.get(index // self.span)
+        placement = chunk.placed.get(index) if chunk is not None else None
         return (
             placement is not None and placement.attempt == attempt and placement.machine == machine
         )
 
     def finish(self, index: int) -> None:
         """The task's current attempt completed."""
-        stretch = self.stretch_of(index)
-        stretch.placed.pop(index, None)
-        stretch.tries.pop(index, None)
+        chunk = self.chunk_of(index)
+        chunk.placed.pop(index, None)
+        chunk.tries.pop(index, None)
         if not self.done[index]:
             self.done[index] = 1
             self.done_count += 1
@@ -245,53 +245,53 @@
 
     def requeue(self, index: int, not_before: Seconds | None) -> None:
         """The task's current attempt is proven gone without result."""
-        stretch = self.stretch_of(index)
-        stretch.placed.pop(index, None)
+        chunk = self.chunk_of(index)
+        chunk.placed.pop(index, None)
         if not_before is None:
             self.again.append(index)
         else:
             heapq.heappush(self.resting, (not_before, index))
 
-    def work_record(self, stretch: Stretch) -> tuple[Record, Record]:
-        """What a record keeps of the stretch: the tasks done, and the attempts of others."""
-        first = stretch.number * self.span
+    def work_record(self, chunk: Chunk) -> tuple[Record, Record]:
+        """What a record keeps of the chunk: the tasks done, and the attempts of others."""
+        first = chunk.number * self.span
         last = min(first + self.span, self.spec.tasks)
         rows: list[list[int | str]] = []
-        for index, attempt in sorted(stretch.tries.items()):
-            placement = stretch.placed.get(index)
+        for index, attempt in sorted(chunk.tries.items()):
+            placement = chunk.placed.get(index)
             if placement is None:
                 rows.append([index, attempt])
             else:
                 rows.append([index, attempt, placement.machine, placement.session])
         return _ranges(self.done, first, last), rows
 
-    def load_work(self, first: int, last: int, done: Record, rows: Record) -> list[Stretch]:
+    def load_work(self, first: int, last: int, done: Record, rows: Record) -> list[Chunk]:
         """Take over these tasks as an earlier leader left them, in place of what was known."""
         for start, end in done:
             for index in range(start, end):
                 self.done[index] = 1
         last = min(last, self.spec.tasks)
-        found = [self._stretch(n) for n in range(first // self.span, (last - 1) // self.span + 1)]
-        for stretch in found:
-            for index in [i for i in stretch.tries if first <= i < last]:
-                del stretch.tries[index]
-                stretch.placed.pop(index, None)
+        found = [self._chunk(n) for n in range(first // self.span, (last - 1) // self.span + 1)]
+        for chunk in found:
+            for index in [i for i in chunk.tries if first <= i < last]:
+                del chunk.tries[index]
+                chunk.placed.pop(index, None)
         for row in rows:
             index, attempt = row[0], Attempt(row[1])
-            stretch = self.stretch_of(index)
-            stretch.tries[index] = attempt
+            chunk = self.chunk_of(index)
+            chunk.tries[index] = attempt
             if len(row) > 2:
-                stretch.placed[index] = Placement(attempt, MachineId(row[2]), Session(row[3]))
-        for stretch in found:
-            stretch.recorded = stretch.entered()
+                chunk.placed[index] = Placement(attempt, MachineId(row[2]), Session(row[3]))
+        for chunk in found:
+            chunk.recorded = chunk.entered()
         return found
 
     def loaded(self) -> None:
-        """All stretches are in: work out what waits."""
+        """All chunks are in: work out what waits."""
         self.done_count = sum(self.done)
         if self.gang and self.placed_count():
             self.gang_attempt = Attempt(self._tried_last() - 1)
-        reached = (max(self.stretches) + 1) * self.span if self.stretches else 0
+        reached = (max(self.chunks) + 1) * self.span if self.chunks else 0
         self.fresh = min(reached, self.spec.tasks)
         self.again = [
             index
@@ -310,8 +310,8 @@
 
     def is_placed(self, index: int) -> bool:
         """Whether an attempt of the task may be on a machine."""
-        stretch = self.stretches.get(index // self.span)
-        return stretch is not None and index in stretch.placed
+        chunk = self.chunks.get(index // self.span)
+        return chunk is not None and index in chunk.placed
 
     @property
     def complete(self) -> bool:
--- a/src/crosscleat/core/leader.py
+++ b/src/crosscleat/core/leader.py
@@ -30,11 +30,11 @@
 )
 from .jobs import Job, spec_of
 from .liveness import UNBROKEN_LEASES, Liveness
-from .losses import Losses
 from .machines import Machines
 from .model import Deployment, MachineType, Shape
-from .parting import Proposal
+from .partitioning import Proposal
 from .placements import Hold, Ledger, Machine
+from .preemption import PreemptionStats
 from .records import DropRecords, WorkRecords
 from .renting import Renting
 from .reports import Report, TaskReport, unknown_words
@@ -96,7 +96,7 @@
         self.scorer = Scorer(deployment, self.run_times)
         self.fleet = Fleet(deployment.knobs, self.scorer.due, self.scorer.remaining_s)
         self.fleet.types = types
-        self.losses = Losses()
+        self.preemptions = PreemptionStats()
         self.commands = Commands(
             self.term, self.jobs, self.ledger, self._answered_directly, self._missed_directly
         )
@@ -115,7 +115,7 @@
             self.term,
             self.ledger,
             self.fleet,
-            self.losses,
+            self.preemptions,
             self.drops,
             lambda machine, hold: self.gone(machine, hold, self.term.now, None),
             self.writer.changed,
@@ -146,7 +146,7 @@
             self.ledger,
             self.fleet,
             self.scorer,
-            self.losses,
+            self.preemptions,
             self.machines.enter_rented,
             self.machines.drop,
         )
@@ -189,8 +189,8 @@
         return Job(spec_of(item.value), item.version, submitted, self.work.span)
 
     def _load_holds(self, job: Job, now: Seconds) -> None:
-        for stretch in job.stretches.values():
-            for number, placed in stretch.placed.items():
+        for chunk in job.chunks.values():
+            for number, placed in chunk.placed.items():
                 machine = self.machines.enter_recorded(placed.machine)
                 hold = Hold(
                     TaskId(job.ref, number),
@@ -217,7 +217,7 @@
             if job is None:
                 job = self.jobs[ref] = self._read_job(change, now)
                 self.fleet.arrived(job, now)
-                job.at_risk = self.losses.at_risk(job, self.scorer, now)
+                job.at_risk = self.preemptions.at_risk(job, self.scorer, now)
                 self._changed = True
                 if change.value["aborted"]:
                     self._abort(job)
@@ -329,7 +329,7 @@
         # Last: what is withdrawn and not listed counts as gone, so the list must be this report's.
         if report.notice_s is not None and machine.recall_at is None:
             machine.recall_at = Seconds(now + report.notice_s)
-            self.losses.taken()
+            self.preemptions.taken()
             self._evacuate(machine, report.notice_s, now)
 
     def _note_age(self, machine: Machine, report: Report, now: Seconds, check_in: bool) -> None:
@@ -434,7 +434,7 @@
         if job is None or not job.is_current(number, hold.attempt, machine.id):
             return
         job.idle_since = now
-        self.work.of(job, job.stretch_of(number)).want(None, now)
+        self.work.of(job, job.chunk_of(number)).want(None, now)
         if cause == reports.DONE or (job.gang and job.done_count):
             self._finish(job, number)
         elif job.aborted:
@@ -506,7 +506,7 @@
 
     def _on_record(self, job: Job, number: int) -> None:
         """The task's place is on record: its start may be sent."""
-        placed = job.stretch_of(number).placed[number]
+        placed = job.chunk_of(number).placed[number]
         found = self.ledger.find(job.ref, number, placed.attempt, placed.machine)
         if found is None:
             return
@@ -688,7 +688,7 @@
             return
         spec = job.spec
         task, attempt = job.place(machine.id, machine.seen.session)
-        self.work.of(job, job.stretch_of(task.number)).want(spec.priority, now)
+        self.work.of(job, job.chunk_of(task.number)).want(spec.priority, now)
         self.writer.changed()
         hold = Hold(
             task, attempt, spec, machine.id, machine.zone, machine.seen.session, placed_at=now
--- a/src/crosscleat/core/machines.py
+++ b/src/crosscleat/core/machines.py
@@ -9,8 +9,8 @@
 from .fleet import Fleet, PoolKey
 from .ids import MachineId, Seconds, TypeName, Version, Zone
 from .liveness import Liveness
-from .losses import Losses
 from .placements import NOWHERE, UNKNOWN_TYPE, Hold, Ledger, Machine
+from .preemption import PreemptionStats
 from .records import DropRecords
 from .reports import ListedMachine, Report
 from .term import DRIFT, LeadingTerm
@@ -44,7 +44,7 @@
         term: LeadingTerm,
         ledger: Ledger,
         fleet: Fleet,
-        losses: Losses,
+        preemptions: PreemptionStats,
         drops: DropRecords,
         gone: Callable[[Machine, Hold], None],
         dropped: Callable[[], None],
@@ -54,7 +54,7 @@
         self._term = term
         self._ledger = ledger
         self._fleet = fleet
-        self._losses = losses
+        self._preemptions = preemptions
         self._drops = drops
         self._gone = gone
         self._dropped = dropped
@@ -266,7 +266,7 @@
             if machine.mute:
                 self.liveness.given_up(machine, now)
                 if machine.spot:
-                    self._losses.taken()
+                    self._preemptions.taken()
             self._ledger.machines.pop(machine.id, None)
             self.tombstones[machine.id] = now
             self._deleted_names.append((now, machine.id))
--- a/src/crosscleat/core/parting.py
+++ b/src/crosscleat/core/partitioning.py
@@ -1,4 +1,4 @@
-"""The parting of work (DESIGN): owners plan full rounds for their part of the jobs and propose.
+"""Work partitioning (DESIGN): owners plan full rounds for their part of the jobs and propose.
 
 Jobs are divided by hash. The leader gives each owner its waiting jobs, the room there is and a
 share of what each team may still use; the owner plans them by the same function as the leader
@@ -77,7 +77,7 @@
     return members[zlib.crc32(job.encode()) % len(members)]
 
 
-def parted(job: Job) -> bool:
+def is_partitioned(job: Job) -> bool:
     """What is tried with care, or whole or not at all, the leader plans itself."""
     return not job.gang and not troubled(job)
 
--- a/src/crosscleat/core/losses.py
+++ b/src/crosscleat/core/preemption.py
@@ -19,7 +19,7 @@
 AT_RISK = 0.25
 
 
-class Losses:
+class PreemptionStats:
     """The rate at which cheap machines are taken, as far as this term saw."""
 
     def __init__(self) -> None:
@@ -40,7 +40,7 @@
 
     @property
     def rate(self) -> float:
-        """Losses per machine and second."""
+        """PreemptionStats per machine and second."""
         return self._taken / self._exposed_s
 
     def at_risk(self, job: Job, scorer: Scorer, now: Seconds) -> bool:
--- a/src/crosscleat/core/records.py
+++ b/src/crosscleat/core/records.py
@@ -1,12 +1,12 @@
 """The leader's records of placements and deletions, many to a value.
 
 The region allows few changes a second, so what belongs to many jobs is kept in few values:
-`work/<n>` holds the stretches of several jobs, `drop/<n>` the names of many machines. A job's
-stretches stay in the record that they were first put in. What a record still says of a job
+`work/<n>` holds the chunks of several jobs, `drop/<n>` the names of many machines. A job's
+chunks stay in the record that they were first put in. What a record still says of a job
 that has ended means nothing: it goes with the record's next change.
 
-A stretch has 200 tasks, or as many as fit into one value where that is less. Where a record has
-stretches of another length than ours, of an earlier version or other limits, all its tasks are
+A chunk has 200 tasks, or as many as fit into one value where that is less. Where a record has
+chunks of another length than ours, of an earlier version or other limits, all its tasks are
 written anew in ours, a few at a time, and it is removed after the last. Until then the same task
 stands in two records: the one that was changed later holds.
 """
@@ -18,17 +18,17 @@
 
 from .effects import Item, Put, Record
 from .ids import ABSENT, LONG_AGO, JobRef, MachineId, Seconds, Version
-from .jobs import STRETCH, Job, Stretch
+from .jobs import CHUNK, Chunk, Job
 from .model import Priority
 
 WORK = "work/"
 DROP = "drop/"
 TASK_BYTES = 40
 """More than a task takes in a record, whatever its state, in the form that limits count."""
-STRETCH_BYTES = 160
+CHUNK_BYTES = 160
 FILL = 0.6
 FULL = 0.9
-"""Of a value, where stretches are cut to fit one."""
+"""Of a value, where chunks are cut to fit one."""
 NAME_BYTES = 24
 MOST_NAMES = 300
 OVERDUE_S = 1.0
@@ -36,17 +36,17 @@
 
 
 def span_of(value_kb: float) -> int:
-    """How many tasks a stretch has, so that one fits into a value."""
-    return min(STRETCH, (int(value_kb * 1024 * FULL) - STRETCH_BYTES) // TASK_BYTES)
+    """How many tasks a chunk has, so that one fits into a value."""
+    return min(CHUNK, (int(value_kb * 1024 * FULL) - CHUNK_BYTES) // TASK_BYTES)
 
 
 @dataclass(slots=True, eq=False)
 class WorkRecord:
-    """One value with the stretches of several jobs."""
+    """One value with the chunks of several jobs."""
 
     number: int
     version: Version = ABSENT
-    members: dict[tuple[JobRef, int], tuple[Job, Stretch]] = field(default_factory=dict)
+    members: dict[tuple[JobRef, int], tuple[Job, Chunk]] = field(default_factory=dict)
     size: int = 0
     dirty: bool = False
     urgent: Priority | None = None
@@ -54,7 +54,7 @@
     urgent_since: Seconds = LONG_AGO
     closing: bool = False
     """Its removal is on the way: nothing is entered any more."""
-    span: int = STRETCH
+    span: int = CHUNK
 
     @property
     def key(self) -> str:
@@ -75,29 +75,29 @@
     def value(self) -> Record:
         """What is stored under it."""
         jobs = [
-            [ref, number, *job.work_record(stretch)]
-            for (ref, number), (job, stretch) in self.members.items()
+            [ref, number, *job.work_record(chunk)]
+            for (ref, number), (job, chunk) in self.members.items()
         ]
-        return {"jobs": jobs} if self.span == STRETCH else {"jobs": jobs, "span": self.span}
+        return {"jobs": jobs} if self.span == CHUNK else {"jobs": jobs, "span": self.span}
 
 
 @dataclass(slots=True)
 class Superseded:
-    """A record whose tasks are being written anew in stretches of our length."""
+    """A record whose tasks are being written anew in chunks of our length."""
 
     key: str
     version: Version
     waiting: set[tuple[JobRef, int]] = field(default_factory=set)
-    """Those of our stretches that are not written yet."""
+    """Those of our chunks that are not written yet."""
 
 
 class WorkRecords:
-    """All records of placements, and which stretch is in which."""
+    """All records of placements, and which chunk is in which."""
 
     def __init__(self, value_kb: float, txn_ops: int, cut: bool) -> None:
-        """`cut`: whether stretches may be cut to fit a value, as no older version reads them."""
-        self.span = span_of(value_kb) if cut else STRETCH
-        self._most_bytes = int(value_kb * 1024 * (FULL if self.span < STRETCH else FILL))
+        """`cut`: whether chunks may be cut to fit a value, as no older version reads them."""
+        self.span = span_of(value_kb) if cut else CHUNK
+        self._most_bytes = int(value_kb * 1024 * (FULL if self.span < CHUNK else FILL))
         # A transaction compares the live record of each job that starts something.
         self._most_members = 2 * txn_ops
         self._records: dict[int, WorkRecord] = {}
@@ -113,7 +113,7 @@
         for item in sorted(items, key=lambda item: item.version):
             number = int(item.key.removeprefix(WORK))
             self._next = max(self._next, number + 1)
-            span = item.value.get("span", STRETCH)
+            span = item.value.get("span", CHUNK)
             old = Superseded(item.key, item.version)
             if span == self.span:
                 self._records[number] = WorkRecord(number, item.version, span=span)
@@ -123,31 +123,31 @@
                 job = jobs.get(JobRef(ref))
                 if job is None:
                     continue
-                for stretch in job.load_work(part * span, (part + 1) * span, done, rows):
+                for chunk in job.load_work(part * span, (part + 1) * span, done, rows):
                     if span == self.span:
-                        self._leave(job, stretch)
-                        stretch.record = number
-                        self._enter(self._records[number], job, stretch)
+                        self._leave(job, chunk)
+                        chunk.record = number
+                        self._enter(self._records[number], job, chunk)
                     else:
                         # One of ours may hold tasks of several of such a length: what other
                         # records say of it stays of worth until it is written anew.
-                        old.waiting.add((job.ref, stretch.number))
+                        old.waiting.add((job.ref, chunk.number))
         for ref, part in {key for old in self._superseded for key in old.waiting}:
-            self.of(jobs[ref], jobs[ref].stretches[part]).want(None, LONG_AGO)
+            self.of(jobs[ref], jobs[ref].chunks[part]).want(None, LONG_AGO)
 
-    def _leave(self, job: Job, stretch: Stretch) -> None:
+    def _leave(self, job: Job, chunk: Chunk) -> None:
         """All that was known of it before is out of date."""
         for old in self._superseded:
-            old.waiting.discard((job.ref, stretch.number))
-        if stretch.record is not None:
-            record = self._records[stretch.record]
-            del record.members[job.ref, stretch.number]
+            old.waiting.discard((job.ref, chunk.number))
+        if chunk.record is not None:
+            record = self._records[chunk.record]
+            del record.members[job.ref, chunk.number]
             record.size -= self._bytes(job)
-            stretch.record = None
+            chunk.record = None
 
-    def written(self, stretches: Iterable[tuple[Job, Stretch]]) -> None:
-        """These stretches are on record in our length."""
-        keys = {(job.ref, stretch.number) for job, stretch in stretches}
+    def written(self, chunks: Iterable[tuple[Job, Chunk]]) -> None:
+        """These chunks are on record in our length."""
+        keys = {(job.ref, chunk.number) for job, chunk in chunks}
         for old in self._superseded:
             old.waiting -= keys
 
@@ -158,24 +158,24 @@
         return found
 
     def _bytes(self, job: Job) -> int:
-        return STRETCH_BYTES + TASK_BYTES * min(self.span, job.spec.tasks)
+        return CHUNK_BYTES + TASK_BYTES * min(self.span, job.spec.tasks)
 
-    def _enter(self, record: WorkRecord, job: Job, stretch: Stretch) -> None:
-        record.members[job.ref, stretch.number] = job, stretch
+    def _enter(self, record: WorkRecord, job: Job, chunk: Chunk) -> None:
+        record.members[job.ref, chunk.number] = job, chunk
         record.size += self._bytes(job)
 
-    def of(self, job: Job, stretch: Stretch) -> WorkRecord:
-        """The record that keeps the stretch: the one it is in, or one that has room."""
-        if stretch.record is not None:
-            return self._records[stretch.record]
+    def of(self, job: Job, chunk: Chunk) -> WorkRecord:
+        """The record that keeps the chunk: the one it is in, or one that has room."""
+        if chunk.record is not None:
+            return self._records[chunk.record]
         size = self._bytes(job)
         record = next((r for r in self._records.values() if self._has_room(r, size)), None)
         if record is None:
             record = WorkRecord(self._next, span=self.span)
             self._records[record.number] = record
             self._next += 1
-        stretch.record = record.number
-        self._enter(record, job, stretch)
+        chunk.record = record.number
+        self._enter(record, job, chunk)
         return record
 
     def _has_room(self, record: WorkRecord, size: int) -> bool:
@@ -187,11 +187,11 @@
 
     def forget(self, job: Job) -> None:
         """The job has ended."""
-        self.written((job, stretch) for stretch in job.stretches.values())
-        for stretch in job.stretches.values():
-            if stretch.record is not None:
-                record = self._records[stretch.record]
-                del record.members[job.ref, stretch.number]
+        self.written((job, chunk) for chunk in job.chunks.values())
+        for chunk in job.chunks.values():
+            if chunk.record is not None:
+                record = self._records[chunk.record]
+                del record.members[job.ref, chunk.number]
                 record.size -= self._bytes(job)
 
     def urgent(self, now: Seconds) -> list[WorkRecord]:
--- a/src/crosscleat/core/renting.py
+++ b/src/crosscleat/core/renting.py
@@ -9,8 +9,8 @@
 from .fleet import Fleet, PoolKey, Wanted
 from .ids import JobRef, MachineId, Seconds
 from .jobs import Job
-from .losses import Losses
 from .placements import Ledger, Machine
+from .preemption import PreemptionStats
 from .scoring import Scorer
 from .term import LeadingTerm
 
@@ -33,7 +33,7 @@
         ledger: Ledger,
         fleet: Fleet,
         scorer: Scorer,
-        losses: Losses,
+        preemptions: PreemptionStats,
         enter_rented: Callable[[PoolKey, MachineId], None],
         drop: Callable[[Machine, str], None],
     ) -> None:
@@ -42,7 +42,7 @@
         self._ledger = ledger
         self._fleet = fleet
         self._scorer = scorer
-        self._losses = losses
+        self._preemptions = preemptions
         self._enter_rented = enter_rented
         self._drop = drop
         self._budget: Budget | None = None
@@ -86,10 +86,10 @@
     def _judge_risks(self, now: Seconds) -> None:
         """Once a second, whose tasks had better not be lost; which may change with their age."""
         cheap = sum(1 for m in self._ledger.machines.values() if m.up and m.spot)
-        self._losses.passed(min(1.0, now - self._judged_at), cheap)
+        self._preemptions.passed(min(1.0, now - self._judged_at), cheap)
         self._judged_at = now
         for job in self._jobs.values():
-            job.at_risk = not job.aborted and self._losses.at_risk(job, self._scorer, now)
+            job.at_risk = not job.aborted and self._preemptions.at_risk(job, self._scorer, now)
 
     def _cpus_of(self, those: Callable[[Job], bool]) -> float:
         return sum(
--- a/src/crosscleat/core/upgrade.py
+++ b/src/crosscleat/core/upgrade.py
@@ -1,4 +1,4 @@
-"""Whether all controllers have come to the version that knows gangs and may cut stretches.
+"""Whether all controllers have come to the version that knows gangs and may cut chunks.
 
 Each puts a key of its own, `format/<member>`, into the store when it begins, and looks at those
 keys until all members have one. The version before knows nothing of them, so a member without a
--- a/src/crosscleat/core/front.py
+++ b/src/crosscleat/core/user_requests.py
@@ -51,7 +51,7 @@
     unknown: int
 
 
-class Front:
+class UserRequests:
     """Answers users' requests on one controller."""
 
     def __init__(
--- a/src/crosscleat/core/work_sharing.py
+++ b/src/crosscleat/core/work_sharing.py
@@ -8,7 +8,7 @@
 from .effects import Part
 from .ids import MachineId, Member, Seconds
 from .jobs import Job
-from .parting import Proposal, owner, parted, shares_of, view_of
+from .partitioning import Proposal, is_partitioned, owner, shares_of, view_of
 from .placements import Ledger, Machine
 from .term import LeadingTerm
 
@@ -33,7 +33,7 @@
         """Waiting jobs by their owner, if any is not ours."""
         found: dict[Member, list[Job]] = {}
         for job in jobs:
-            if job.peek() is not None and parted(job):
+            if job.peek() is not None and is_partitioned(job):
                 found.setdefault(owner(job.ref, self._members), []).append(job)
         return found if found.keys() - {self._term.deployment.member} else {}
 
@@ -71,7 +71,7 @@
 
     def elsewhere(self, job: Job, now: Seconds) -> bool:
         """Its owner is planning it; without a proposal in time it is ours again."""
-        if not self._until or not parted(job):
+        if not self._until or not is_partitioned(job):
             return False
         return self._until.get(owner(job.ref, self._members), now) > now
 
--- a/src/crosscleat/core/writer.py
+++ b/src/crosscleat/core/writer.py
@@ -180,13 +180,13 @@
             record.version = revision
         for record in batch.closing:
             self._work.removed(record)
-        for job, stretch, recorded in batch.stretches:
-            fresh = recorded - stretch.recorded
-            stretch.recorded = recorded
+        for job, chunk, recorded in batch.chunks:
+            fresh = recorded - chunk.recorded
+            chunk.recorded = recorded
             for number, attempt, machine_id in fresh:
                 if job.is_current(number, attempt, machine_id):
                     self._recorded(job, number)
-        self._work.written((job, stretch) for job, stretch, _ in batch.stretches)
+        self._work.written((job, chunk) for job, chunk, _ in batch.chunks)
         for job in batch.ended:
             del self._ending[job.ref]
             self._work.forget(job)
@@ -206,9 +206,7 @@
                 self._reread(job)
         for record in batch.records:
             urgent = [
-                job.spec.priority
-                for job, stretch in record.members.values()
-                if stretch.unrecorded()
+                job.spec.priority for job, chunk in record.members.values() if chunk.unrecorded()
             ]
             record.want(max(urgent, default=None), self._term.now)
 
--- a/tests/term.py
+++ b/tests/term.py
@@ -89,6 +89,6 @@
     spec = job("job-1", tasks=1, estimate_s=estimate_s)
     before = Job(spec, Version(3), Seconds(0.0))
     before.place(MachineId("m-0"), Session(session))
-    record = WorkRecords(16.0, 8, True).of(before, before.stretch_of(0))
+    record = WorkRecords(16.0, 8, True).of(before, before.chunk_of(0))
     live = Item(live_key(spec.ref), live_record(spec, WallTime(-40.0), aborted=False), Version(3))
     return [live], [Item(record.key, record.value(), Version(4))]
--- a/tests/test_formats.py
+++ b/tests/test_formats.py
@@ -15,7 +15,7 @@
 from crosscleat.core.ids import JobRef, LeaseId, Session, TaskId, Token, Version, WallTime
 from crosscleat.core.jobs import live_record, spec_of
 from crosscleat.core.model import JobSpec, Shape
-from crosscleat.core.parting import Proposal
+from crosscleat.core.partitioning import Proposal
 from crosscleat.wire import cloud, peers, state, users, workers
 
 amounts = st.floats(0.0, 1e6, allow_nan=False)
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -229,8 +229,8 @@
     """The store has all its places."""
     for hold in one.holds.values():
         hold.recorded = True
-    for stretch in gang.stretches.values():
-        stretch.recorded = stretch.entered()
+    for chunk in gang.chunks.values():
+        chunk.recorded = chunk.entered()
 
 
 def starts_for(term: Term, one: Machine) -> list[StartOrder]:
@@ -321,7 +321,7 @@
     records = WorkRecords(16.0, 8, True)
     for _ in range(on_record):
         task, _ = before.place(MachineId("m-0"), Session(1))
-        records.of(before, before.stretch_of(task.number))
+        records.of(before, before.chunk_of(task.number))
     live = Item("live/job-g", live_record(before.spec, WallTime(-40.0), aborted=False), Version(3))
     return Term([live], [Item(r.key, r.value(), Version(4)) for r in records])
 
@@ -340,8 +340,8 @@
     for one in machines:
         for hold in one.holds.values():
             hold.recorded = hold.sent = True
-    for stretch in gang.stretches.values():
-        stretch.recorded = stretch.entered()
+    for chunk in gang.chunks.values():
+        chunk.recorded = chunk.entered()
     term.hear((1, 2), tasks=(reported(0, "waiting"),))
     term.hear((1, 2), machine="m-1", tasks=(reported(1, "fetching"),))
     machines[0].used_cpus = machines[0].type.cpus
--- a/tests/test_isolated.py
+++ b/tests/test_isolated.py
@@ -97,7 +97,7 @@
 def test_a_placement_is_void_once_the_job_is_cancelled_or_the_leader_replaced() -> None:
     held = Job(job("job-1", priority=Priority.HIGH), Version(7), Seconds(0.0))
     held.place(MachineId("m-1"), Session(1))
-    record = WorkRecords(16.0, 8, True).of(held, held.stretch_of(0))
+    record = WorkRecords(16.0, 8, True).of(held, held.chunk_of(0))
     batch = Batch(41, 8)
     batch.record(record)
     assert batch.conditions["leader"] == 41
--- a/tests/test_parting.py
+++ b/tests/test_partitioning.py
@@ -1,4 +1,4 @@
-"""The parting of work: owners plan their part, the leader checks and commits."""
+"""The partitioning of work: owners plan their part, the leader checks and commits."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 from crosscleat.core.ids import JobRef, MachineId, Member, Seconds, Team, Version, WallTime, Zone
 from crosscleat.core.jobs import Job, live_key, live_record
 from crosscleat.core.model import Priority
-from crosscleat.core.parting import Proposal, View, owner, plan, shares_of, view_of
+from crosscleat.core.partitioning import Proposal, View, owner, plan, shares_of, view_of
 from crosscleat.core.placements import Ledger, Machine
 
 from .term import Term
--- a/tests/test_losses.py
+++ b/tests/test_preemption.py
@@ -8,9 +8,9 @@
 from crosscleat.core.fleet import Demand, Fleet, Wanted
 from crosscleat.core.ids import MachineId, Seconds, Team, Version, Zone
 from crosscleat.core.jobs import Job
-from crosscleat.core.losses import MOST_AT_ONCE, Losses
 from crosscleat.core.model import Knobs
 from crosscleat.core.placements import Ledger, Machine
+from crosscleat.core.preemption import MOST_AT_ONCE, PreemptionStats
 from crosscleat.core.rounds import Round
 from crosscleat.core.scoring import RunTimes, Scorer
 
@@ -19,24 +19,24 @@
 NOW = Seconds(500.0)
 
 
-def seen(per_hour: float, machines: int = 100, seconds: int = 600) -> Losses:
+def seen(per_hour: float, machines: int = 100, seconds: int = 600) -> PreemptionStats:
     """What is learnt from so many machines that are taken so often."""
-    losses = Losses()
+    stats = PreemptionStats()
     due = 0.0
     for _ in range(seconds):
         due += machines * per_hour / 3600.0
         while due >= 1.0:
             due -= 1.0
-            losses.taken()
-        losses.passed(1.0, machines)
-    return losses
+            stats.taken()
+        stats.passed(1.0, machines)
+    return stats
 
 
-def at_risk(losses: Losses, age: float = 0.0, done: int = 0, **changes: Any) -> bool:
+def at_risk(stats: PreemptionStats, age: float = 0.0, done: int = 0, **changes: Any) -> bool:
     # Jobs of this class are to be done within 60 s.
     one = Job(job("job-1", **{"tasks": 10, **changes}), Version(1), Seconds(NOW - age))
     one.done_count = done
-    return losses.at_risk(one, Scorer(deployment("c0"), RunTimes()), NOW)
+    return stats.at_risk(one, Scorer(deployment("c0"), RunTimes()), NOW)
 
 
 def test_work_is_at_risk_if_a_loss_is_likely_and_would_make_it_late() -> None:
@@ -52,12 +52,12 @@
 
 
 def test_a_wave_of_losses_says_little_of_the_usual_rate() -> None:
-    losses = seen(per_hour=0.2)
-    before = losses.rate
+    stats = seen(per_hour=0.2)
+    before = stats.rate
     for _ in range(80):
-        losses.taken()
-    losses.passed(1.0, 100)
-    assert before < losses.rate <= before + MOST_AT_ONCE / 10_000.0
+        stats.taken()
+    stats.passed(1.0, 100)
+    assert before < stats.rate <= before + MOST_AT_ONCE / 10_000.0
 
 
 def test_work_at_risk_takes_ordinary_machines_and_leaves_cheap_ones_to_other_work() -> None:
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -11,7 +11,7 @@
 from crosscleat.core.batch import Batch
 from crosscleat.core.effects import Item
 from crosscleat.core.ids import ABSENT, JobRef, MachineId, Seconds, Session, Version
-from crosscleat.core.jobs import STRETCH, Job
+from crosscleat.core.jobs import CHUNK, Job
 from crosscleat.core.model import Priority
 from crosscleat.core.records import DropRecords, WorkRecords
 
@@ -31,7 +31,7 @@
 
 def place(records: WorkRecords, one: Job) -> tuple[int, int]:
     task, attempt = one.place(MACHINE, Session(2))
-    records.of(one, one.stretch_of(task.number)).want(one.spec.priority, NOW)
+    records.of(one, one.chunk_of(task.number)).want(one.spec.priority, NOW)
     return task.number, attempt
 
 
@@ -42,7 +42,7 @@
     ]
 
 
-@given(st.lists(st.integers(1, 3 * STRETCH), min_size=1, max_size=12), st.data())
+@given(st.lists(st.integers(1, 3 * CHUNK), min_size=1, max_size=12), st.data())
 def test_tasks_survive_a_change_of_leader(sizes: list[int], data: st.DataObject) -> None:
     before = {JobRef(f"job-{n}"): waiting(f"job-{n}", tasks=size) for n, size in enumerate(sizes)}
     records = WorkRecords(VALUE_KB, TXN_OPS, True)
@@ -66,17 +66,17 @@
         assert one.done == old.done and one.done_count == old.done_count
         assert one.placed_count() == old.placed_count()
         assert one.waiting_count() == old.waiting_count()
-        for number, stretch in old.stretches.items():
-            assert {i: t for i, t in stretch.tries.items() if i in stretch.placed} == {
-                i: p.attempt for i, p in one.stretches[number].placed.items()
+        for number, chunk in old.chunks.items():
+            assert {i: t for i, t in chunk.tries.items() if i in chunk.placed} == {
+                i: p.attempt for i, p in one.chunks[number].placed.items()
             }
             # An attempt's number is never given twice, in whatever term.
-            for index, attempt in stretch.tries.items():
-                assert one.stretches[number].tries.get(index) == attempt or old.done[index]
+            for index, attempt in chunk.tries.items():
+                assert one.chunks[number].tries.get(index) == attempt or old.done[index]
     assert all(ref != ended for r in again for ref, _ in r.members)
 
 
-@given(st.lists(st.tuples(st.integers(1, 3 * STRETCH), st.integers(0, 60)), max_size=40))
+@given(st.lists(st.tuples(st.integers(1, 3 * CHUNK), st.integers(0, 60)), max_size=40))
 def test_no_value_and_no_transaction_is_too_large(jobs: list[tuple[int, int]]) -> None:
     records = WorkRecords(VALUE_KB, TXN_OPS, True)
     for n, (tasks, placed) in enumerate(jobs):
@@ -94,14 +94,14 @@
     assert bool(batch.writes) == bool(list(records))
     assert len(batch.writes) <= TXN_OPS and len(batch.conditions) <= 4 * TXN_OPS
     assert len(msgspec.json.encode([w.value for w in batch.writes])) <= 56 * 1024
-    for one_job, stretch, _ in batch.stretches:
-        assert not stretch.unrecorded() or one_job in batch.jobs, "a start without its job compared"
+    for one_job, chunk, _ in batch.chunks:
+        assert not chunk.unrecorded() or one_job in batch.jobs, "a start without its job compared"
 
 
 def test_urgent_starts_are_written_first_but_none_waits_for_ever() -> None:
     records = WorkRecords(VALUE_KB, TXN_OPS, True)
-    slow = waiting("job-slow", tasks=STRETCH, priority=Priority.LOW)
-    soon = waiting("job-soon", tasks=STRETCH, priority=Priority.HIGH)
+    slow = waiting("job-slow", tasks=CHUNK, priority=Priority.LOW)
+    soon = waiting("job-soon", tasks=CHUNK, priority=Priority.HIGH)
     place(records, slow)
     place(records, soon)
     order = [[ref for ref, _ in r.members] for r in records.urgent(NOW)]
--- a/tests/test_unheard.py
+++ b/tests/test_unresponsive_workers.py
@@ -248,8 +248,8 @@
     # The store has it no longer; only what may still be on its way speaks against clearing.
     ended = msgspec.structs.replace(task, state="exited", cause=cause)
     term.hear((1, 3), tasks=(ended,))
-    for stretch in term.leader.jobs[JobRef("job-1")].stretches.values():
-        stretch.recorded = frozenset()
+    for chunk in term.leader.jobs[JobRef("job-1")].chunks.values():
+        chunk.recorded = frozenset()
     (answer,) = term.hear((1, 4), tasks=(ended,))
     assert isinstance(answer, Orders)
     assert any(isinstance(order, ClearOrder) for order in answer.orders) == cleared
@@ -342,8 +342,8 @@
     ended = TaskReport(TaskId(JobRef("job-1"), 0), Attempt(1), "exited", "done")
     for tally, named in ((1, True), (2, True), (3, False)):
         if not named:
-            for stretch in term.leader.jobs[JobRef("job-1")].stretches.values():
-                stretch.recorded = frozenset()
+            for chunk in term.leader.jobs[JobRef("job-1")].chunks.values():
+                chunk.recorded = frozenset()
         (answer,) = term.hear((1, tally), tasks=(ended,))
         assert isinstance(answer, Orders)
         assert any(isinstance(order, ClearOrder) for order in answer.orders) != named
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -35,13 +35,13 @@
     Version,
     WallTime,
 )
-from crosscleat.core.jobs import STRETCH, Job, ended_record, live_record, spec_of
+from crosscleat.core.jobs import CHUNK, Job, ended_record, live_record, spec_of
 from crosscleat.core.model import JobSpec, Shape
 from crosscleat.core.records import DropRecords, WorkRecords, span_of
 from crosscleat.core.upgrade import Upgrade
 from crosscleat.wire import peers
 
-from .test_front import front
+from .test_user_requests import front
 from .world import MEMBERS, NEXT_LIMITS, World, job
 
 NOW = Seconds(100.0)
@@ -120,8 +120,8 @@
     for value in items.values():
         for ref, number, done, rows in value["jobs"]:
             tasks = found.setdefault(ref, {})
-            # It puts a stretch in place of what it had under that number, and looks for a task
-            # in the stretch of its index.
+            # It puts a chunk in place of what it had under that number, and looks for a task
+            # in the chunk of its index.
             for start, end in done:
                 tasks.update(dict.fromkeys(range(start, end), "done"))
             for row in rows:
@@ -142,8 +142,8 @@
     state: dict[int, tuple[int, str, int] | str] = {
         index: "done" for index in range(one.spec.tasks) if one.done[index]
     }
-    for stretch in one.stretches.values():
-        for index, placed in stretch.placed.items():
+    for chunk in one.chunks.values():
+        for index, placed in chunk.placed.items():
             state[index] = (placed.attempt, placed.machine, placed.session)
     return state
 
@@ -151,7 +151,7 @@
 def spread(records: WorkRecords, one: Job, placed: int, done: int) -> None:
     for _ in range(placed):
         task, _ = one.place(MachineId("m-000007"), Session(1))
-        records.of(one, one.stretch_of(task.number)).want(one.spec.priority, NOW)
+        records.of(one, one.chunk_of(task.number)).want(one.spec.priority, NOW)
     for index in range(done):
         one.finish(index)
 
@@ -168,7 +168,7 @@
     for ref, one in jobs.items():
         one.loaded()
         assert state_of(one) == wanted[ref]
-    assert jobs[SPEC.ref].stretches[0].tries == {1: 1, 2: 1}
+    assert jobs[SPEC.ref].chunks[0].tries == {1: 1, 2: 1}
     drops = DropRecords(16.0)
     assert drops.load([Item("drop/1", {"machines": ["m-000009"]}, Version(2))]) == ["m-000009"]
     for sample, message in FRAMES_394DFE6.items():
@@ -232,8 +232,8 @@
     changed = data.draw(st.booleans()) and bool(part)
     if changed:
         # What was rewritten has gone on since: a task of it is done.
-        (job_of, stretch), *_ = next(iter(small)).members.values()
-        for index in list(stretch.placed):
+        (job_of, chunk), *_ = next(iter(small)).members.values()
+        for index in list(chunk.placed):
             job_of.finish(index)
         part[0] = stored(small, version=50)[0]
     third = WorkRecords(SMALL_KB, SMALL_OPS, cut=True)
@@ -389,7 +389,7 @@
     world.network.heal()
     world.clock.advance(1.0 + 3.0 * seed)
     if trouble == "none":
-        # The term that saw the last of them change has given way to one that cuts stretches.
+        # The term that saw the last of them change has given way to one that cuts chunks.
         (leader,) = [
             p.controller.leader for p in world.processes.values() if p and p.controller.leader
         ]
@@ -530,7 +530,7 @@
     assert world.store.too_large <= 1
 
 
-def test_a_stretch_of_two_hundred_is_cut_only_for_small_values() -> None:
-    assert WorkRecords(16.0, 8, cut=True).span == STRETCH
+def test_a_chunk_of_two_hundred_is_cut_only_for_small_values() -> None:
+    assert WorkRecords(16.0, 8, cut=True).span == CHUNK
     assert WorkRecords(SMALL_KB, SMALL_OPS, cut=True).span == 42
-    assert WorkRecords(SMALL_KB, SMALL_OPS, cut=False).span == STRETCH
+    assert WorkRecords(SMALL_KB, SMALL_OPS, cut=False).span == CHUNK
--- a/tests/test_front.py
+++ b/tests/test_user_requests.py
@@ -21,18 +21,18 @@
     Scan,
     Watch,
 )
-from crosscleat.core.front import Front
 from crosscleat.core.ids import JobRef, Seconds, TypeName, Version, WallTime
 from crosscleat.core.jobs import live_record
 from crosscleat.core.model import Shape
+from crosscleat.core.user_requests import UserRequests
 
 from .world import TYPES, deployment, job
 
 
-def front(types: bool = True) -> tuple[Front, Outbox]:
+def front(types: bool = True) -> tuple[UserRequests, Outbox]:
     out = Outbox()
     known = {kind.name: kind for kind in TYPES} if types else {}
-    return Front(deployment("c0"), out, known, lambda: Seconds(100.0), lambda: True), out
+    return UserRequests(deployment("c0"), out, known, lambda: Seconds(100.0), lambda: True), out
 
 
 def live(ref: str, version: int, aborted: bool = False) -> Item:
@@ -91,7 +91,7 @@
     assert isinstance(answer, Answer) and answer.body["status"] == "queued"
 
 
-def copied() -> tuple[Front, Outbox]:
+def copied() -> tuple[UserRequests, Outbox]:
     """A front whose copy has job-1 and job-2, as of revision 5."""
     door, out = front()
     door.poll(1, JobRef("job-1"))
