--- a/tests/test_fault_combinations.py
+++ b/tests/test_fault_combinations.py
@@ -29,7 +29,7 @@
     world = World(seed)
     world.clock.advance(3.0)
     for number in range(jobs):
-        world.submit(
+        world.users.submit(
             job(
                 f"job-{number}",
                 tasks=tasks,
@@ -85,17 +85,17 @@
     world = world_of(seed, estimate_s=60.0)
     world.slow_store_s = 3.0
     for ref in ("job-0", "job-1"):
-        world.poll_for(ref, 60.0)
-        world.cancel(ref)
+        world.users.poll_for(ref, 60.0)
+        world.users.cancel(ref)
     world.clock.advance(4.0)
     if alone:
         for member in world.leading():
             world.store.refuses[member] = world.clock.now + 20.0
         world.clock.advance(1.0)
-        world.cancel("job-2")
+        world.users.cancel("job-2")
         world.clock.advance(1.0)
     world.store.outage(CANCEL_S + 10.0)
-    world.cancel("job-3")
+    world.users.cancel("job-3")
     world.clock.advance(CANCEL_S + 15.0)
     world.finish()
 
@@ -104,16 +104,16 @@
 def test_a_team_at_its_limit_when_the_leader_changes_and_a_cancellation_comes(seed: int) -> None:
     world = world_of(seed, jobs=0)
     for number in range(5):
-        world.submit(job(f"job-{number}", tasks=4, estimate_s=30.0))
+        world.users.submit(job(f"job-{number}", tasks=4, estimate_s=30.0))
     world.clock.advance(14.0)
     for name in busy(world)[::2]:
         for member in MEMBERS:
             world.network.cut(name, member, "hold" if seed % 2 else "reset")
     world.end_leader(5.0)
     world.clock.advance(0.5)
-    world.cancel("job-0")
+    world.users.cancel("job-0")
     world.clock.advance(8.0)
-    world.cancel("job-1")
+    world.users.cancel("job-1")
     world.clock.advance(LEASE_S)
     world.finish()
 
@@ -129,7 +129,7 @@
         world.store.refuses[member] = world.clock.now + 14.0
     world.clock.advance(after_s)
     for number in range(4):
-        world.cancel(f"job-{number}")
+        world.users.cancel(f"job-{number}")
     world.clock.advance(1.0)
     world.store.outage(CANCEL_S + 15.0)
     world.clock.advance(CANCEL_S + 20.0)
@@ -146,13 +146,13 @@
     # The end is written between what a cancellation has read and what it writes.
     world.slow_store_s = slow_s
     for number in range(8):
-        world.submit(job(f"job-{number}", tasks=1 + number % 3, estimate_s=4.0))
+        world.users.submit(job(f"job-{number}", tasks=1 + number % 3, estimate_s=4.0))
     for _ in range(120):
         world.clock.advance(0.25)
         for ref in sorted(world.specs):
-            world.poll(ref)
+            world.users.poll(ref)
             if world.rng.random() < 0.1:
-                world.submit(world.specs[ref], tries=0)
+                world.users.submit(world.specs[ref], tries=0)
     world.finish()
 
 
@@ -166,7 +166,7 @@
             world.store.outage(outage_s)
         world.end_leader((0.1, 5.0)[number % 2])
         if number == 5:
-            world.cancel("job-0")
+            world.users.cancel("job-0")
         world.clock.advance(world.rng.uniform(2.0, 12.0))
     world.finish()
 
@@ -177,7 +177,7 @@
     world = world_of(seed, estimate_s=30.0)
     world.mute.update(world.workers if seed % 2 else busy(world))
     world.clock.advance(3.0)
-    world.cancel("job-0")
+    world.users.cancel("job-0")
     if crash:
         world.end_leader(0.3)
     world.clock.advance(2.0 * LEASE_S)
@@ -192,7 +192,7 @@
 ) -> None:
     world = world_of(seed, jobs=0)
     for number in range(4):
-        world.submit(job(f"job-{number}", tasks=2 + number % 2, cpus=1.0, estimate_s=16.0))
+        world.users.submit(job(f"job-{number}", tasks=2 + number % 2, cpus=1.0, estimate_s=16.0))
     world.clock.advance(4.0)
     # Half a task's time to one and a half: the first ends, then leaders, then the last ends.
     for _ in range(6):
@@ -200,7 +200,7 @@
         world.store.outage(outage_s)
         world.end_leader(0.3)
     for number in range(4):
-        world.poll_for(f"job-{number}", 30.0)
+        world.users.poll_for(f"job-{number}", 30.0)
     world.finish()
 
 
@@ -209,7 +209,7 @@
     world = world_of(seed, jobs=0)
     world.network.slow_s = 1.5
     for number in range(24):
-        world.submit(
+        world.users.submit(
             job(
                 f"job-{number}",
                 tasks=6,
@@ -219,7 +219,7 @@
             )
         )
         world.clock.advance(1.0)
-    world.cancel("job-3")
+    world.users.cancel("job-3")
     world.end_leader(0.5)
     world.clock.advance(60.0)
     world.finish()
@@ -231,11 +231,11 @@
     world = world_of(seed, jobs=2)
     world.late_writes = 0.3
     for number in range(2, 8):
-        world.submit(job(f"job-{number}", tasks=2, estimate_s=4.0, team=Team("blue")))
+        world.users.submit(job(f"job-{number}", tasks=2, estimate_s=4.0, team=Team("blue")))
         world.clock.advance(3.0)
         if number % 3 == 0:
-            world.cancel(f"job-{number}")
-            world.submit(world.specs["job-0"], tries=0)
+            world.users.cancel(f"job-{number}")
+            world.users.submit(world.specs["job-0"], tries=0)
         if crash and number % 2:
             world.end_leader(0.2)
     world.clock.advance(15.0)
@@ -248,7 +248,7 @@
     world = world_of(seed, estimate_s=30.0)
     world.cut_zone("ab"[seed % 2], mode)
     world.clock.advance(4.0)
-    world.cancel("job-0")
+    world.users.cancel("job-0")
     world.clock.advance(LEASE_S + 15.0)
     world.network.heal()
     world.clock.advance(3.0)
@@ -261,9 +261,9 @@
     world = world_of(seed, jobs=2, estimate_s=8.0)
     world.flaky = 0.5
     for number in range(2, 7):
-        world.submit(job(f"job-{number}", tasks=2, estimate_s=6.0, team=Team("blue")))
+        world.users.submit(job(f"job-{number}", tasks=2, estimate_s=6.0, team=Team("blue")))
         world.clock.advance(2.0)
-        world.cancel(f"job-{number}") if number % 3 == 0 else None
+        world.users.cancel(f"job-{number}") if number % 3 == 0 else None
         for name in busy(world)[:2]:
             world.workers[name].hang(hang_s)
     world.clock.advance(20.0)
@@ -285,7 +285,7 @@
     world.serving = [member for member in MEMBERS if member != old]
     world.clock.advance(5.0)
     for number in range(4):
-        world.cancel(f"job-{number}")
+        world.users.cancel(f"job-{number}")
     world.clock.advance(CANCEL_S + 8.0)
     assert set(world.cancel_told) == {f"job-{number}" for number in range(4)}
     world.finish()
@@ -296,7 +296,7 @@
 def test_jobs_bound_to_a_zone_lose_machines(seed: int, place: str) -> None:
     world = world_of(seed, jobs=0)
     for number in range(3):
-        world.submit(
+        world.users.submit(
             job(
                 f"job-{number}",
                 tasks=4,
@@ -323,7 +323,7 @@
 @pytest.mark.parametrize("away_s", [LEASE_S - 1.0, LEASE_S + 6.0, CANCEL_S + LEASE_S])
 def test_all_controllers_are_away(seed: int, away_s: float) -> None:
     world = world_of(seed, estimate_s=40.0)
-    world.cancel("job-0")
+    world.users.cancel("job-0")
     world.clock.advance(0.3)
     for number, member in enumerate(MEMBERS):
         world.crash(member, away_s + 0.2 * number)
@@ -369,5 +369,5 @@
     world.network.heal()
     world.clock.advance(REPORT_S)
     for number in range(2):
-        world.cancel(f"job-{number}")
+        world.users.cancel(f"job-{number}")
     world.finish()
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -57,7 +57,7 @@
     world.boot_fails = 0.0
     world.clock.advance(3.0)
     for number in range(count):
-        world.submit(
+        world.users.submit(
             job(
                 f"job-{number}",
                 tasks=3,
@@ -112,12 +112,12 @@
 def test_a_new_leader_goes_on_with_gangs_as_it_finds_them(seed: int, after_s: float) -> None:
     world = World(seed)
     world.clock.advance(12.0)
-    world.submit(job("job-0", tasks=4, estimate_s=8.0, team=Team("blue"), shape=Shape.GANG))
+    world.users.submit(job("job-0", tasks=4, estimate_s=8.0, team=Team("blue"), shape=Shape.GANG))
     world.clock.advance(after_s)
     for member in [m for m, p in world.processes.items() if p and p.controller.leader]:
         world.crash(member, 0.3)
     world.clock.advance(5.0)
-    world.submit(job("job-1", tasks=2, estimate_s=8.0, team=Team("blue"), shape=Shape.GANG))
+    world.users.submit(job("job-1", tasks=2, estimate_s=8.0, team=Team("blue"), shape=Shape.GANG))
     world.finish()
     assert done(world) == {"job-0", "job-1"}
 
@@ -139,7 +139,7 @@
     world = with_gangs(seed, estimate_s=8.0, count=1)
     world.flaky = 0.6
     for number in range(1, 7):
-        world.submit(
+        world.users.submit(
             job(f"job-{number}", tasks=3, estimate_s=5.0, team=Team("blue"), shape=Shape.GANG)
         )
         world.clock.advance(1.0)
@@ -158,7 +158,7 @@
     for name in [n for n, w in world.workers.items() if w.tasks][:1]:
         for member in MEMBERS:
             world.network.cut(name, member, "hold")
-    world.cancel("job-0")
+    world.users.cancel("job-0")
     world.clock.advance(CANCEL_S + 1.0)
     assert world.cancel_told and running(world, "job-0") == 0
 
@@ -168,7 +168,9 @@
     world.clock.advance(3.0)
     for number in range(4):
         # Each takes over half of what the team may use.
-        world.submit(job(f"job-{number}", tasks=4, cpus=2.0, estimate_s=5.0, shape=Shape.GANG))
+        world.users.submit(
+            job(f"job-{number}", tasks=4, cpus=2.0, estimate_s=5.0, shape=Shape.GANG)
+        )
     world.clock.advance(GANG_WAIT_S + 30.0)
     world.finish()
     assert done(world) == {f"job-{number}" for number in range(4)}
--- a/tests/test_isolated.py
+++ b/tests/test_isolated.py
@@ -48,7 +48,7 @@
     busy.cloud_down = True
     isolate(busy, leader_of(busy))
     busy.clock.advance(6.0)
-    busy.cancel("job-long")
+    busy.users.cancel("job-long")
     busy.clock.advance(CANCEL_S + 5.0)
     assert busy.told_final["job-long"] == "aborted"
     assert running(busy, "job-long") == 0
@@ -81,7 +81,7 @@
     isolate(busy, old)
     # Room elsewhere, so that only the proof is missing for a second start.
     for zone in ("a", "b"):
-        busy.add_machine("large", zone, False)
+        busy.clouds.add_machine("large", zone, False)
     busy.clock.advance(CANCEL_S - LEASE_S)
     assert leader_of_others(busy, old)
     assert busy.started == 3
--- a/tests/test_outage_after_partition.py
+++ b/tests/test_outage_after_partition.py
@@ -22,7 +22,7 @@
 def cancel_through_others(world: World, leader: str, ref: str) -> None:
     """Those who are served confirm it; the leader is not asked."""
     world.serving = [member for member in MEMBERS if member != leader]
-    world.cancel(ref)
+    world.users.cancel(ref)
 
 
 def gap(world: World, until_out_s: float, out_s: float, refs: list[str]) -> str:
@@ -65,7 +65,7 @@
     crash: str | None,
 ) -> None:
     world = at_work(estimate_s=200.0, for_s=20.0)
-    world.submit(job("job-kept", tasks=2, estimate_s=200.0, team=Team("blue")))
+    world.users.submit(job("job-kept", tasks=2, estimate_s=200.0, team=Team("blue")))
     world.clock.advance(10.0)
     world.cloud_down = True
     leader = leader_of(world)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -40,7 +40,7 @@
     ) -> None:
         ref = f"job-{len(self.jobs):06d}"
         self.jobs.append(ref)
-        self.world.submit(
+        self.world.users.submit(
             job(
                 ref,
                 tasks=tasks,
@@ -62,7 +62,7 @@
         ref = f"job-{len(self.jobs):06d}"
         self.jobs.append(ref)
         spec = job(ref, tasks=tasks, cpus=0.1, memory_gb=0.1, team=Team("blue"), estimate_s=3.0)
-        self.world.submit(spec)
+        self.world.users.submit(spec)
         self.world.clock.advance(0.4)
 
     @rule(member=members, back_s=st.sampled_from((0.05, 0.5, 5.0)))
@@ -76,14 +76,14 @@
 
     @rule(which=st.integers(0, 50))
     def poll(self, which: int) -> None:
-        self.world.poll(self.jobs[which % len(self.jobs)] if self.jobs else "job-nobody")
-        self.world.poll("job-unknown")
+        self.world.users.poll(self.jobs[which % len(self.jobs)] if self.jobs else "job-nobody")
+        self.world.users.poll("job-unknown")
         self.world.clock.advance(0.2)
 
     @rule(which=st.integers(0, 50))
     def cancel(self, which: int) -> None:
         if self.jobs:
-            self.world.cancel(self.jobs[which % len(self.jobs)])
+            self.world.users.cancel(self.jobs[which % len(self.jobs)])
             self.world.clock.advance(0.4)
 
     @rule(member=members, back_s=st.sampled_from((0.05, 0.2, 5.0)))
@@ -222,7 +222,7 @@
         at_work = {task.job for w in world.workers.values() for task, _ in w.tasks}
         refs = [ref for ref in self.jobs if JobRef(ref) in at_work][:count]
         for ref in refs:
-            world.cancel(ref)
+            world.users.cancel(ref)
         for worker in list(world.workers.values())[:8] if hang_s else ():
             if any(task.job in refs for task, _ in worker.tasks):
                 worker.hang(hang_s)
@@ -238,11 +238,11 @@
         world = self.world
         if self.jobs:
             ref = self.jobs[which % len(self.jobs)]
-            world.submit(world.specs[ref], tries=0)
+            world.users.submit(world.specs[ref], tries=0)
             if ref in world.told_final:
-                world.cancel(ref)
-        world.refused(job(f"job-large-{which}", cpus=64.0), f"job-large-{which}", 422)
-        world.refused(None, f"job-odd-{which}", 400)
+                world.users.cancel(ref)
+        world.users.refused(job(f"job-large-{which}", cpus=64.0), f"job-large-{which}", 422)
+        world.users.refused(None, f"job-odd-{which}", 400)
         world.clock.advance(0.2)
 
     @rule(
@@ -271,7 +271,7 @@
             world.store.refuses[member] = world.clock.now + 14.0
         world.clock.advance(0.1)
         for ref in self.jobs[-count:]:
-            world.cancel(ref)
+            world.users.cancel(ref)
         world.clock.advance(until_out_s)
         world.store.outage(out_s)
 
@@ -327,10 +327,10 @@
     world = World(1)
     world.clock.advance(3.0)
     for number in range(5):
-        world.submit(job(f"job-{number}", tasks=4))
+        world.users.submit(job(f"job-{number}", tasks=4))
     world.clock.advance(60.0)
     for number in range(5):
-        world.poll(f"job-{number}")
+        world.users.poll(f"job-{number}")
     world.clock.advance(1.0)
     assert world.told_final == {f"job-{number}": "done" for number in range(5)}
     assert world.started == 20
--- a/tests/test_unresponsive_workers.py
+++ b/tests/test_unresponsive_workers.py
@@ -177,7 +177,7 @@
     busy.clock.advance(LEASE_S + 10.0)
     assert busy.workers[name].gone, "returned, so that it holds nothing any more"
     busy.clock.advance(120.0)
-    busy.poll("job-long")
+    busy.users.poll("job-long")
     busy.clock.advance(1.0)
     assert busy.told_final == {"job-long": "done"}
 
@@ -186,11 +186,11 @@
     name = hosts(busy)[0]
     busy.no_direct.update(busy.workers)
     for number in range(4):
-        busy.submit(job(f"job-{number}", tasks=2, estimate_s=3.0, team=Team("blue")))
+        busy.users.submit(job(f"job-{number}", tasks=2, estimate_s=3.0, team=Team("blue")))
         busy.clock.advance(12.0)
     assert not busy.workers[name].gone
     for number in range(4):
-        busy.poll(f"job-{number}")
+        busy.users.poll(f"job-{number}")
     busy.clock.advance(1.0)
     assert set(busy.told_final) >= {f"job-{number}" for number in range(4)}
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -352,7 +352,7 @@
     world.boot_fails = 0.0
     world.clock.advance(3.0)
     for number in range(4):
-        world.submit(
+        world.users.submit(
             job(
                 f"job-{number}",
                 tasks=3,
@@ -360,7 +360,7 @@
                 team=Team("blue" if number % 2 else "red"),
             )
         )
-    world.submit(
+    world.users.submit(
         job("job-many", tasks=120, cpus=0.1, memory_gb=0.1, team=Team("blue"), estimate_s=9.0)
     )
     world.clock.advance(9.0)
@@ -385,7 +385,7 @@
         world.upgrade(member, 0.5)
         world.clock.advance(4.0)
         if number == 1:
-            world.cancel("job-1")
+            world.users.cancel("job-1")
     world.network.heal()
     world.clock.advance(1.0 + 3.0 * seed)
     if trouble == "none":
@@ -395,8 +395,8 @@
         ]
         assert leader.work.span == span_of(SMALL_KB)
     world.drop_limits()
-    world.submit(job("job-g", tasks=3, estimate_s=6.0, team=Team("blue"), shape=Shape.GANG))
-    world.submit(
+    world.users.submit(job("job-g", tasks=3, estimate_s=6.0, team=Team("blue"), shape=Shape.GANG))
+    world.users.submit(
         job("job-more", tasks=100, cpus=0.1, memory_gb=0.1, team=Team("blue"), estimate_s=5.0)
     )
     world.clock.advance(20.0)
@@ -435,7 +435,7 @@
         world.clock.advance(3.0)
     assert all(f"format/{member}" in world.store.items for member in MEMBERS)
     assert all(p is not None and p.controller.upgrade.complete for p in world.processes.values())
-    world.submit(job("job-g", tasks=3, estimate_s=6.0, team=Team("blue"), shape=Shape.GANG))
+    world.users.submit(job("job-g", tasks=3, estimate_s=6.0, team=Team("blue"), shape=Shape.GANG))
     world.finish()
     assert world.told_final["job-g"] == "done"
 
@@ -443,7 +443,7 @@
 def answers_to(world: World, member: str, spec: JobSpec) -> list[Answer]:
     found: list[Answer] = []
     world.specs[spec.ref] = spec
-    world.accepted_when_stored(spec.ref)
+    world.users.accepted_when_stored(spec.ref)
     world.ask(member, lambda number: Submit(number, spec), found.append)
     world.clock.advance(1.0)
     return found
@@ -484,7 +484,7 @@
     world.clock.advance(2.0)
     for turn in range(4):
         # New work waits or boots, other work runs, some is cancelled, some machines fall silent.
-        world.submit(job(f"job-t{turn}", tasks=4, estimate_s=8.0, team=Team("blue")))
+        world.users.submit(job(f"job-t{turn}", tasks=4, estimate_s=8.0, team=Team("blue")))
         world.clock.advance(0.3 * turn)
         wanted = {new} if turn % 2 else set(MEMBERS) - {new}
         for _ in range(30):
@@ -495,7 +495,7 @@
             world.clock.advance(1.0)
         assert world.leading() and world.leading()[0] in wanted
         if turn == 1:
-            world.cancel(f"job-t{turn}")
+            world.users.cancel(f"job-t{turn}")
         host = next(w for w in world.workers.values() if w.up and not w.gone)
         host.hang(3.0)
         world.clock.advance(4.0)
@@ -509,7 +509,7 @@
     for member in MEMBERS:
         world.upgrade(member, 0.5)
         world.clock.advance(3.0)
-    world.submit(job("job-g", tasks=3, estimate_s=20.0, team=Team("blue"), shape=Shape.GANG))
+    world.users.submit(job("job-g", tasks=3, estimate_s=20.0, team=Team("blue"), shape=Shape.GANG))
     if moment == "before":
         world.drop_limits()
     elif moment == "as the leader ends":
--- /dev/null
+++ b/tests/world/clock.py
@@ -0,0 +1,26 @@
+"""A simulated clock."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections.abc import Callable
+
+
+class Clock:
+    """Events in order of time; nothing waits for real."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+
+    def after(self, delay: float, event: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (self.now + delay, next(self._order), event))
+
+    def advance(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self._events and self._events[0][0] <= end:
+            self.now, _, event = heapq.heappop(self._events)
+            event()
+        self.now = end
--- /dev/null
+++ b/tests/world/scenario.py
@@ -0,0 +1,90 @@
+"""The deployment that the world plays, and jobs for it."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from crosscleat.core import effects as fx
+from crosscleat.core.ids import (
+    Image,
+    JobRef,
+    Member,
+    Team,
+    TypeName,
+    Zone,
+)
+from crosscleat.core.model import (
+    Deployment,
+    JobSpec,
+    Knobs,
+    MachineType,
+    Objective,
+    Priority,
+    TeamLimits,
+)
+
+REPORT_S = 2.0
+LEASE_S = 10.0
+CANCEL_S = 30.0
+GANG_WAIT_S = 15.0
+GANG_PEER_S = 3.0
+TICK_S = 0.2
+WAITS_S = 90.0
+USER_WAITS_S = 2.0
+SUBMITTER_WAITS_S = 5.0
+PATIENCE_S: dict[type, float] = {
+    fx.Commit: 2.0, fx.Read: 1.5, fx.Scan: 10.0, fx.Grant: 2.0, fx.Touch: 1.0, fx.Revoke: 2.0,
+}  # fmt: skip
+"""How long an answer of the store is waited for."""
+REGION = "region"
+ZONES = ("a", "b")
+MEMBERS = ("c0", "c1", "c2")
+HOMES = ("a", "b", "c")
+"""The controllers' zones."""
+
+TYPES = [
+    MachineType(
+        TypeName(name), cpus, 0.0, 4.0 * cpus, 20.0, 1.0, 0.05 * cpus, 0.02 * cpus, 4.0,
+        tuple(Zone(z) for z in ZONES),
+    )
+    for name, cpus in (("small", 4.0), ("large", 8.0))
+]  # fmt: skip
+TEAMS = {Team("red"): TeamLimits(Team("red"), 8.0, 14.0, 0.0, 0.0),
+         Team("blue"): TeamLimits(Team("blue"), 8.0, 24.0, 0.0, 0.0)}  # fmt: skip
+
+
+class RuleBrokenError(AssertionError):
+    pass
+
+
+def job(ref: str, **changes: Any) -> JobSpec:
+    given: dict[str, Any] = {
+        "ref": JobRef(ref), "job_class": "plain", "team": Team("red"),
+        "priority": Priority.NORMAL, "tasks": 3, "cpus": 2.0, "gpus": 0.0, "memory_gb": 2.0,
+        "image": Image("img"), "image_gb": 0.5, "types": None, "zone": None, "one_zone": False,
+        "spread": False, "spot": True, "estimate_s": 6.0, "checkpoint_s": 0.0, "save_s": 0.0,
+        "deadline_s": None,
+    }  # fmt: skip
+    return JobSpec(**{**given, **changes})
+
+
+LIMITS = (16.0, 8)
+NEXT_LIMITS = (2.0, 5)
+"""KiB of a value and writes of a transaction, now and later."""
+
+
+def deployment(member: str, limits: tuple[float, int] = LIMITS) -> Deployment:
+    return Deployment(
+        member=Member(member),
+        members=tuple(Member(m) for m in MEMBERS),
+        teams=dict(TEAMS),
+        objectives=(Objective("finished", "plain", 60.0),),
+        report_s=REPORT_S,
+        lease_s=LEASE_S,
+        cancel_s=CANCEL_S,
+        gang_wait_s=GANG_WAIT_S,
+        gang_peer_s=GANG_PEER_S,
+        value_kb=limits[0],
+        txn_ops=limits[1],
+        knobs=Knobs(headroom=0.1, idle_return_s=8.0),
+    )
--- /dev/null
+++ b/tests/world/store.py
@@ -0,0 +1,123 @@
+"""The state service."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from crosscleat.core import effects as fx
+from crosscleat.core.ids import (
+    Version,
+)
+
+from .clock import Clock
+from .scenario import LIMITS
+
+
+class Store:
+    """The state service."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self.out_until = 0.0
+        self.limits = LIMITS
+        self.too_large = 0
+        """Transactions refused for their size."""
+        self.refuses: dict[str, float] = {}
+        self.revision = 0
+        self.items: dict[str, tuple[Any, int, int | None]] = {}
+        self._log: list[tuple[int, str, Any]] = []
+        self._leases: dict[int, tuple[float, float]] = {}
+
+    def serves(self, member: str) -> bool:
+        return self._clock.now >= max(self.out_until, self.refuses.get(member, 0.0))
+
+    def outage(self, seconds: float) -> None:
+        self.expire()
+        self.out_until = self._clock.now + seconds
+        # After an outage every lease has its full time again.
+        self._leases = {n: (life, self.out_until + life) for n, (life, _) in self._leases.items()}
+
+    def expire(self) -> None:
+        if self._clock.now < self.out_until:
+            return
+        for number, (_, end) in list(self._leases.items()):
+            if end <= self._clock.now:
+                self.revoke(number)
+
+    def grant(self, life: float) -> int:
+        number = len(self._log) * 1000 + len(self._leases) + 1
+        self._leases[number] = (life, self._clock.now + life)
+        return number
+
+    def touch(self, number: int) -> bool:
+        if number not in self._leases:
+            return False
+        life, _ = self._leases[number]
+        self._leases[number] = (life, self._clock.now + life)
+        return True
+
+    def revoke(self, number: int) -> None:
+        self._leases.pop(number, None)
+        gone = [key for key, (_, _, lease) in self.items.items() if lease == number]
+        if gone:
+            self.revision += 1
+        for key in gone:
+            del self.items[key]
+            self._log.append((self.revision, key, None))
+
+    def version(self, key: str) -> int:
+        return self.items[key][1] if key in self.items else 0
+
+    def commit(self, call: fx.Commit, unclear: bool) -> fx.Committed | fx.Conflict | fx.NoSuchLease:
+        self.expire()
+        if not self.admits(call):
+            self.too_large += 1
+            return fx.Conflict(frozenset(), unclear)
+        failed = frozenset(k for k, v in call.conditions if self.version(k) != v)
+        if failed:
+            return fx.Conflict(failed, unclear)
+        for write in call.writes:
+            if isinstance(write, fx.Put) and write.lease not in (None, *self._leases):
+                return fx.NoSuchLease()
+        if call.writes:
+            self.revision += 1
+        for write in call.writes:
+            if isinstance(write, fx.Put):
+                # As sent and stored: a value is a copy, never the core's own object.
+                value = msgspec.msgpack.decode(msgspec.msgpack.encode(write.value))
+                self.items[write.key] = (value, self.revision, write.lease)
+                self._log.append((self.revision, write.key, value))
+            else:
+                self.items.pop(write.key, None)
+                self._log.append((self.revision, write.key, None))
+        return fx.Committed(Version(self.revision))
+
+    def admits(self, call: fx.Commit) -> bool:
+        value_kb, ops = self.limits
+        values = [msgspec.json.encode(w.value) for w in call.writes if isinstance(w, fx.Put)]
+        return (
+            all(len(value) <= value_kb * 1024 for value in values)
+            and len(call.writes) <= ops
+            and len(call.conditions) <= 4 * ops
+        )
+
+    def item(self, key: str) -> fx.Item | None:
+        if key not in self.items:
+            return None
+        value, version, _ = self.items[key]
+        return fx.Item(key, value, Version(version))
+
+    def listing(self, prefix: str) -> fx.Listing:
+        self.expire()
+        found = [self.item(key) for key in sorted(self.items) if key.startswith(prefix)]
+        return fx.Listing([item for item in found if item], Version(self.revision))
+
+    def news(self, prefix: str, after: int) -> list[fx.Item]:
+        self.expire()
+        return [
+            fx.Item(key, value, Version(0 if value is None else revision))
+            for revision, key, value in self._log
+            if revision > after and key.startswith(prefix)
+        ]
--- /dev/null
+++ b/tests/world/users.py
@@ -0,0 +1,165 @@
+"""Users: they submit, ask, cancel, and remember what they were told."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from crosscleat.core import effects as fx
+from crosscleat.core.controller import (
+    Abort,
+    Poll,
+    Refuse,
+    Submit,
+)
+from crosscleat.core.ids import (
+    JobRef,
+    TaskId,
+)
+from crosscleat.core.model import (
+    JobSpec,
+)
+
+from .scenario import (
+    MEMBERS,
+    SUBMITTER_WAITS_S,
+    USER_WAITS_S,
+    RuleBrokenError,
+)
+
+if TYPE_CHECKING:
+    from .world import World
+
+
+class Users:
+    """Users: they submit, ask, cancel, and remember what they were told."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+
+    def submit(self, spec: JobSpec, tries: int = 20) -> None:
+        self.world.specs[spec.ref] = spec
+        sent = self.world.clock.now
+
+        def answered(answer: fx.Answer) -> None:
+            if self.world.clock.now - sent > SUBMITTER_WAITS_S:
+                return
+            if answer.status in (200, 201):
+                self.world.accepted.add(spec.ref)
+                if answer.body["status"] in ("done", "aborted"):
+                    self.hear_final(spec.ref, answer.body["status"])
+            elif answer.status in (400, 422):
+                raise RuleBrokenError(f"forgotten or refused: {spec.ref} gets {answer.status}")
+
+        member = self.world.rng.choice(MEMBERS)
+        # Started tasks are checked against this: the store may accept before the user hears.
+        self.accepted_when_stored(spec.ref)
+        self.world.ask(member, lambda n: Submit(n, spec), answered)
+        if tries > 0:
+            self.world.clock.after(
+                self.world.rng.uniform(1.0, 3.0), lambda: self.again(spec, tries)
+            )
+
+    def again(self, spec: JobSpec, tries: int) -> None:
+        if spec.ref not in self.world.accepted or self.world.rng.random() < 0.05:
+            self.submit(spec, tries - 1)
+
+    def accepted_when_stored(self, ref: str) -> None:
+        if f"live/{ref}" in self.world.store.items:
+            self.world.accepted.add(ref)
+        elif ref not in self.world.accepted:
+            self.world.clock.after(0.01, lambda: self.accepted_when_stored(ref))
+
+    def poll(self, ref: str) -> None:
+        # As of now: a poll under way while the job is accepted may still find nothing.
+        known = ref in self.world.accepted
+        sent = self.world.clock.now
+
+        def answered(answer: fx.Answer) -> None:
+            if self.world.clock.now - sent > USER_WAITS_S:
+                return
+            if answer.status in (200, 404):
+                self.world.answered[ref] = self.world.clock.now
+            if answer.status == 404 and known:
+                raise RuleBrokenError(f"forgotten: {ref}")
+            if answer.status == 200:
+                if ref not in self.world.specs:
+                    raise RuleBrokenError(f"invented: {ref}")
+                self.hear_status(ref, answer.body["status"], sent)
+
+        self.world.ask(self.world.rng.choice(MEMBERS), lambda n: Poll(n, JobRef(ref)), answered)
+
+    def refused(self, spec: JobSpec | None, ref: str, status: int) -> None:
+        """A submission that can't be accepted: it fits no machine, or lacks a field."""
+
+        def answered(answer: fx.Answer) -> None:
+            if answer.status != 503 and answer.status != (
+                200 if ref in self.world.accepted else status
+            ):
+                raise RuleBrokenError(f"{ref} gets {answer.status}, not {status}")
+
+        number = JobRef(ref)
+        self.world.ask(
+            self.world.rng.choice(MEMBERS),
+            lambda n: Refuse(n, number, status) if spec is None else Submit(n, spec),
+            answered,
+        )
+
+    def task_done(self, task: TaskId) -> None:
+        """A task has completed; users may call its job off just then."""
+        missing = any(
+            TaskId(task.job, n) not in self.world.results
+            for n in range(self.world.specs[task.job].tasks)
+        )
+        if not missing and self.world.rng.random() < self.world.cancel_at_end:
+            self.world.clock.after(
+                self.world.rng.choice((0.0, 0.02, 0.1, 0.4)), lambda: self.cancel(task.job)
+            )
+
+    def poll_for(self, ref: str, seconds: float) -> None:
+        """As users do, every five seconds."""
+        self.poll(ref)
+        if seconds > 5.0:
+            self.world.clock.after(5.0, lambda: self.poll_for(ref, seconds - 5.0))
+
+    def cancel(self, ref: str, tries: int = 30) -> None:
+        self.world.cancel_asked.add(ref)
+        sent = self.world.clock.now
+
+        def answered(answer: fx.Answer) -> None:
+            if self.world.clock.now - sent > USER_WAITS_S:
+                return
+            if answer.status == 200:
+                assert answer.body["status"] in ("done", "aborted")
+                self.hear_final(ref, answer.body["status"])
+
+        self.world.ask(
+            self.world.rng.choice(self.world.serving), lambda n: Abort(n, JobRef(ref)), answered
+        )
+        if tries > 0 and ref not in self.world.told_final:
+            self.world.clock.after(1.0, lambda: self.cancel_again(ref, tries - 1))
+
+    def cancel_again(self, ref: str, tries: int) -> None:
+        if ref not in self.world.told_final:
+            self.cancel(ref, tries)
+
+    def hear_status(self, ref: str, status: str, asked: float) -> None:
+        if status in ("done", "aborted"):
+            self.hear_final(ref, status)
+        elif self.world.told_at.get(ref, asked) < asked:
+            # What was asked before may be answered as of then, by a controller that is slow.
+            raise RuleBrokenError(f"went_back: {ref} was {self.world.told_final[ref]}, is {status}")
+
+    def hear_final(self, ref: str, status: str) -> None:
+        before = self.world.told_final.setdefault(ref, status)
+        self.world.told_at.setdefault(ref, self.world.clock.now)
+        if before != status:
+            raise RuleBrokenError(f"went_back: {ref} was {before}, is {status}")
+        if status == "aborted":
+            if ref not in self.world.cancel_asked:
+                raise RuleBrokenError(f"went_back: {ref} cancelled by nobody")
+            self.world.cancel_told.setdefault(ref, self.world.clock.now)
+        else:
+            tasks = self.world.specs[ref].tasks
+            missing = [n for n in range(tasks) if TaskId(JobRef(ref), n) not in self.world.results]
+            if missing:
+                raise RuleBrokenError(f"not_done: {ref} lacks {missing}")
