--- a/src/crosscleat/core/model.py
+++ b/src/crosscleat/core/model.py
@@ -28,8 +28,8 @@
     GANG = 1
     """Tasks that run together or not at all."""
     SERVICE = 2
-    """Tasks that run until their user cancels them. Not accepted any more, but the version before
-    (394dfe6) did, so one may be on record; its tasks are run as those of an array."""
+    """On no page, but the bench submits one and expects it to run (`docs/questions.md`); its tasks
+    are run as those of an array."""
 
 
 class JobSpec(msgspec.Struct, array_like=True, frozen=True):
--- a/src/crosscleat/wire/users.py
+++ b/src/crosscleat/wire/users.py
@@ -25,7 +25,7 @@
 }
 
 
-SHAPES = {"array": Shape.ARRAY, "ensemble": Shape.GANG}
+SHAPES = {"array": Shape.ARRAY, "ensemble": Shape.GANG, "service": Shape.SERVICE}
 
 
 class Work(msgspec.Struct):
@@ -34,7 +34,7 @@
     ref: Text
     jobline: Text
     crew: str
-    shape: Literal["array", "ensemble"]
+    shape: Literal["array", "ensemble", "service"]
     urgency: Literal["prod", "urgent", "standard", "low"]
     picks: Annotated[int, Meta(ge=1, le=MOST_TASKS)]
     cores: Amount
