--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+from random import Random
 from typing import Any
 
 import msgspec
@@ -23,9 +24,11 @@
     Outbox,
     Scan,
 )
+from crosscleat.core.election import Election
 from crosscleat.core.ids import (
     ABSENT,
     JobRef,
+    LeaseId,
     MachineId,
     Member,
     Seconds,
@@ -178,6 +181,33 @@
     assert isinstance(peers.parse(bytes.fromhex(PROPOSED_394DFE6)[4:]), peers.Proposed)
 
 
+def test_the_leader_key_is_read_and_written_as_by_production() -> None:
+    """Either version follows the other's leader, and may take its key over."""
+    leader_394dfe6 = {"member": "c1", "boot": "0123456789abcdef", "lease": 7}
+    out = Outbox()
+    election = Election(
+        Member("c1"), "0123456789abcdef", out, Random(1), lambda: NOW,
+        lambda _delay, _then: None, lambda _token: None, lambda _why: None,
+    )  # fmt: skip
+    assert election._record(LeaseId(7)) == leader_394dfe6
+    election._follow(leader_394dfe6)
+    assert election.leader == "c1"
+
+
+def test_what_production_says_of_an_ended_job_is_answered() -> None:
+    for aborted, status in ((False, "done"), (True, "aborted")):
+        asked, out = front()
+        asked.abort(1, JobRef("job-000412"))
+        (live,) = out.take()
+        live.then(Found(None, Version(8)))
+        (ended,) = out.take()
+        record = {"tasks": 3, "aborted": aborted}
+        ended.then(Found(Item("ended/job-000412", record, Version(7)), Version(8)))
+        (answer,) = out.take()
+        assert isinstance(answer, Answer) and answer.status == 200
+        assert answer.body["status"] == status
+
+
 def test_what_is_written_before_all_have_changed_is_as_production_writes_it() -> None:
     record = msgspec.to_builtins(live_record(SPEC, WallTime(1700000000.25), aborted=False))
     assert msgspec.msgpack.decode(msgspec.msgpack.encode(record)) == LIVE_394DFE6
