--- a/deploy/build.py
+++ b/deploy/build.py
@@ -16,6 +16,7 @@
 
 
 def main() -> int:
+    """Install what is wanted, unless it is there, and compile it."""
     wanted = WANTED.read_text()
     if not STAMP.exists() or STAMP.read_text() != wanted:
         DEPS.mkdir(parents=True, exist_ok=True)
--- a/src/crosscleat/adapters/clock.py
+++ b/src/crosscleat/adapters/clock.py
@@ -8,8 +8,10 @@
 
 
 def steady() -> Seconds:
+    """Seconds on the steady clock of this process."""
     return Seconds(time.monotonic())
 
 
 def wall() -> WallTime:
+    """The time of day."""
     return WallTime(time.time())
--- a/src/crosscleat/adapters/cloud_client.py
+++ b/src/crosscleat/adapters/cloud_client.py
@@ -20,6 +20,8 @@
 
 
 class CloudClient:
+    """Calls to the cloud API, within its rate limit."""
+
     def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
         self._session = session
         self._base = f"http://{address}"
@@ -34,6 +36,7 @@
             return None
 
     async def types(self) -> list[MachineType] | None:
+        """The machine types with their present prices; None: no answer."""
         response = await self._call("GET", "/machine_types", None)
         if response is None or response[0] != 200:
             return None
@@ -44,6 +47,7 @@
             return None
 
     async def machines(self) -> list[ListedMachine] | None:
+        """The whole machine list, page by page; None: no answer."""
         found: list[ListedMachine] = []
         after = ""
         while True:
@@ -62,6 +66,7 @@
             after = page.boxes[-1].ref
 
     async def rent(self, call: Rent) -> list[str] | bool | None:
+        """Names of the rented machines; False: no capacity; None: unknown."""
         response = await self._call("POST", "/rentals", wire.rent(call))
         if response is None:
             return None
@@ -81,5 +86,6 @@
         return None
 
     async def delete(self, call: DeleteMachines) -> bool:
+        """Whether the cloud confirmed that the machines are gone."""
         response = await self._call("POST", "/rentals/delete", wire.delete(call.machines))
         return response is not None and response[0] == 200
--- a/src/crosscleat/adapters/http_server.py
+++ b/src/crosscleat/adapters/http_server.py
@@ -40,10 +40,12 @@
     __slots__ = ("open",)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Count the connection; close the idlest one if there are too many."""
         super().connection_made(transport)
         self.open[self] = None
 
     def connection_lost(self, exc: BaseException | None) -> None:
+        """The connection has closed."""
         self.open.pop(self, None)
         super().connection_lost(exc)
 
@@ -61,6 +63,7 @@
         self._busy: set[Connection] = set()
 
     async def start(self, address: str) -> None:
+        """Listen for users and workers."""
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         await loop.create_server(self._protocol, host, int(port), backlog=self._most)
--- a/src/crosscleat/adapters/peer_link.py
+++ b/src/crosscleat/adapters/peer_link.py
@@ -38,6 +38,7 @@
     _heard_at: float = field(default_factory=steady)
 
     def heard(self, peer: str, ping: wire.Ping) -> None:
+        """A peer said whether the state service serves it."""
         self._heard_at = steady()
         if ping.served:
             self._others[peer] = steady()
@@ -90,9 +91,11 @@
 
     @property
     def up(self) -> bool:
+        """Whether the link is open."""
         return self._writer is not None
 
     def send(self, message: wire.Message) -> bool:
+        """Queue a message; False: the link is down or its queue is full."""
         writer = self._writer
         if writer is None or writer.transport.get_write_buffer_size() > MOST_BUFFERED:
             return False
@@ -116,6 +119,7 @@
             del self._waiting[number]
 
     async def run(self) -> None:
+        """Keep the link open until cancelled."""
         was_up = False
         while True:
             try:
@@ -184,6 +188,7 @@
         self._scolded: set[str] = set()
 
     async def start(self, address: str) -> None:
+        """Listen for the other controllers."""
         host, _, port = address.rpartition(":")
         await asyncio.start_server(self._serve, host, int(port))
 
--- a/src/crosscleat/adapters/state_client.py
+++ b/src/crosscleat/adapters/state_client.py
@@ -59,6 +59,8 @@
 
 
 class StateClient:
+    """Calls to the state service, within its rate limits."""
+
     def __init__(
         self,
         session: aiohttp.ClientSession,
@@ -81,6 +83,7 @@
         self._user_lane = Lane(self._decide, txn_ops)
 
     async def run(self) -> None:
+        """Send what users wait for, several writes to a transaction."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._leader_lane.run())
             group.create_task(self._user_lane.run())
@@ -156,6 +159,7 @@
     # Reads
 
     async def read(self, call: Read) -> Found | None:
+        """One key; None: no answer."""
         if call.for_user and (self._down() or not self._reads.spare(1.0)):
             return None
         response = await self._call("GET", f"/kv/{quote(call.key)}", None, call.patience_s)
@@ -171,6 +175,7 @@
         return None
 
     async def scan(self, call: Scan) -> Listing | None:
+        """All keys with the prefix, page by page; None: no answer."""
         if call.for_user and (self._down() or not self._reads.spare(1.0)):
             return None
         patience_s = USER_READ_S if call.for_user else 5.0
@@ -196,6 +201,7 @@
             after = page.pairs[-1].path
 
     async def watch(self, call: Watch) -> News | None:
+        """Changes below the prefix, as they come; None: no answer."""
         if call.for_user and self._down():
             # No share is counted: how often it is asked for is bounded where it is asked.
             return None
@@ -217,22 +223,26 @@
     # Leases
 
     async def grant(self, call: Grant) -> LeaseId | None:
+        """A new lease; None: no answer."""
         response = await self._call("POST", "/grants", wire.grant(call.life_s), 2.0)
         granted = None if response is None else _decode(wire.permit, response[1])
         return None if granted is None else LeaseId(granted.permit)
 
     async def touch(self, call: Touch) -> bool | None:
+        """Renew a lease; False: it has ended; None: no answer."""
         response = await self._try("POST", f"/grants/{call.lease}/touch", b"", TRY_S)
         if response is None or response[0] in REFUSED:
             return None
         return response[0] == 200
 
     async def revoke(self, call: Revoke) -> None:
+        """End a lease at once."""
         await self._call("DELETE", f"/grants/{call.lease}", None, 2.0)
 
     # Writes
 
     async def commit(self, call: Commit) -> Outcome:
+        """Carry out one transaction."""
         if call.for_user and self._down():
             return None
         lane = self._user_lane if call.for_user else self._leader_lane
@@ -276,12 +286,14 @@
         self._wake = asyncio.Event()
 
     async def commit(self, call: Commit) -> Outcome:
+        """Queue the transaction and wait for its outcome."""
         future: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
         self._queue.append((call, future))
         self._wake.set()
         return await future
 
     async def run(self) -> None:
+        """Send what is queued until cancelled."""
         while True:
             await self._wake.wait()
             self._wake.clear()
--- a/src/crosscleat/adapters/worker_client.py
+++ b/src/crosscleat/adapters/worker_client.py
@@ -27,6 +27,8 @@
 
 
 class WorkerClient:
+    """Direct messages to workers."""
+
     def __init__(self, session: aiohttp.ClientSession) -> None:
         self._session = session
         self._timeout = aiohttp.ClientTimeout(
--- a/src/crosscleat/app.py
+++ b/src/crosscleat/app.py
@@ -86,6 +86,7 @@
 
     @classmethod
     def divide(cls, most: int, peers: int) -> Sockets:
+        """Divide `most` sockets for a controller with so many peers."""
         store, cloud, workers = max(3, most // 20), max(2, most // 100), max(2, most // 16)
         # Two to listen on, both ways between controllers and their next try; some for the system.
         left = most - store - cloud - 2 * workers - 3 * peers - 2
@@ -93,6 +94,8 @@
 
 
 class App:
+    """One controller process."""
+
     def __init__(self, settings: Settings, knobs: Knobs, sockets: Sockets) -> None:
         params = settings.settings
         limits = params.state.tighter()
@@ -146,6 +149,7 @@
         }
 
     async def run(self) -> None:
+        """Serve until a signal ends the process."""
         peers = PeerServer(set(self._links), self._answer_relay, self._health, self._told)
         server = HttpServer(self._ask, self._check_in, self._ready, self._sockets.clients)
         await peers.start(self._settings.peer_bind)
@@ -169,7 +173,7 @@
         for effect in self._controller.step(given, clock.steady(), clock.wall()):
             self._carry_out(effect)
 
-    def _carry_out(self, effect: Effect) -> None:
+    def _carry_out(self, effect: Effect) -> None:  # noqa: C901 - one case a message
         match effect:
             case Answer() | Orders():
                 future = self._requests.pop(effect.request, None)
@@ -317,6 +321,7 @@
 
 
 def run(settings: Settings, knobs: Knobs) -> None:
+    """Run a controller until it is told to end."""
     signal.signal(signal.SIGINT, signal.SIG_DFL)
     log.info("in %s, listens on %s", settings.zone, settings.listen)
     asyncio.run(_main(settings, knobs))
--- a/src/crosscleat/cli.py
+++ b/src/crosscleat/cli.py
@@ -31,10 +31,12 @@
 
 
 def variable(knob: str) -> str:
+    """The environment variable of a setting."""
     return "CROSSCLEAT_" + knob.upper()
 
 
 def build_parser() -> argparse.ArgumentParser:
+    """The command line."""
     parser = argparse.ArgumentParser(
         prog="crosscleat", description="A cluster scheduler's controller."
     )
@@ -77,6 +79,7 @@
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the command line; returns the exit status."""
     given = build_parser().parse_args(arguments)
     level = os.environ.get("LOG_LEVEL", "info")
     try:
--- a/src/crosscleat/core/batch.py
+++ b/src/crosscleat/core/batch.py
@@ -32,6 +32,7 @@
         self._bytes_left = MOST_BYTES
 
     def room(self, writes: int, conditions: int) -> bool:
+        """Whether so many more writes and conditions fit."""
         return (
             len(self.writes) + writes <= self._most
             and len(self.conditions) + writes + conditions <= self._most_conditions
@@ -42,10 +43,12 @@
         self._most = min(self._most, len(self.writes) + more)
 
     def put(self, write: Put, version: Version) -> None:
+        """Write a value, if its key still has this version."""
         self.conditions[write.key] = version
         self.writes.append(write)
 
     def remove(self, key: str, version: Version) -> None:
+        """Remove a key that still has this version."""
         self.conditions[key] = version
         self.writes.append(Remove(key))
 
@@ -54,6 +57,7 @@
         self.jobs[job] = None
 
     def end(self, job: Job) -> None:
+        """Record the job's end, if its live record is as we know it."""
         self._compare_job(job)
         record = ended_record(job.spec.tasks, aborted=job.aborted)
         self.writes.append(Put(ended_key(job.ref), record))
--- a/src/crosscleat/core/budget.py
+++ b/src/crosscleat/core/budget.py
@@ -10,6 +10,8 @@
 
 
 class Budget:
+    """One period's allowance and what was spent of it."""
+
     def __init__(self, period_s: float, allowance: float, now: Seconds) -> None:
         self._period_s = period_s
         self.allowance = allowance
@@ -27,6 +29,7 @@
         self._last = now
 
     def left_s(self, now: Seconds) -> float:
+        """Seconds until the period ends."""
         return self._start + self._period_s - now
 
     def admits(self, rate_per_s: float, more_per_s: float, waiting: float, now: Seconds) -> bool:
--- a/src/crosscleat/core/controller.py
+++ b/src/crosscleat/core/controller.py
@@ -42,7 +42,7 @@
 
 
 class Tick(msgspec.Struct, frozen=True):
-    pass
+    """A tenth of a second has passed."""
 
 
 class Began(msgspec.Struct, frozen=True):
@@ -57,6 +57,8 @@
 
 
 class Submit(msgspec.Struct, frozen=True):
+    """A user submits a job."""
+
     request: int
     spec: JobSpec
 
@@ -70,11 +72,15 @@
 
 
 class Poll(msgspec.Struct, frozen=True):
+    """A user asks about a job."""
+
     request: int
     ref: JobRef
 
 
 class Abort(msgspec.Struct, frozen=True):
+    """A user cancels a job."""
+
     request: int
     ref: JobRef
 
@@ -137,6 +143,8 @@
 
 
 class Controller:
+    """One controller, whether it leads or follows."""
+
     def __init__(self, deployment: Deployment, boot: str, rng: Random) -> None:
         self.deployment = deployment
         self._rng = rng
@@ -168,7 +176,8 @@
         """Without the machine types no submission can be decided."""
         return bool(self._types)
 
-    def step(self, given: Input, now: Seconds, wall: WallTime) -> list[Effect]:
+    def step(self, given: Input, now: Seconds, wall: WallTime) -> list[Effect]:  # noqa: C901 - one case a message
+        """Take an input; returns what is to be done outside."""
         self._now, self._wall = now, wall
         if self.leader is not None:
             self.leader.term.now = now
--- a/src/crosscleat/core/effects.py
+++ b/src/crosscleat/core/effects.py
@@ -18,18 +18,24 @@
 
 
 class Item(msgspec.Struct, frozen=True):
+    """A key of the store with its value and version."""
+
     key: str
     value: Record
     version: Version
 
 
 class Put(msgspec.Struct, frozen=True):
+    """Write a key, under a lease or none."""
+
     key: str
     value: Record
     lease: LeaseId | None = None
 
 
 class Remove(msgspec.Struct, frozen=True):
+    """Remove a key."""
+
     key: str
 
 
@@ -38,25 +44,33 @@
 
 
 class Committed(msgspec.Struct, frozen=True):
+    """The transaction was carried out."""
+
     revision: Version
 
 
 class Conflict(msgspec.Struct, frozen=True):
+    """The keys in `failed` had other versions; nothing was written."""
+
     failed: frozenset[str]
     repeated: bool
     """An earlier try of the same request may have been the one that changed the keys."""
 
 
 class NoSuchLease(msgspec.Struct, frozen=True):
-    pass
+    """The lease had ended; nothing was written."""
 
 
 class Found(msgspec.Struct, frozen=True):
+    """A key as it was at the revision; `item` is None if it does not exist."""
+
     item: Item | None
     revision: Version
 
 
 class Listing(msgspec.Struct, frozen=True):
+    """All keys with a prefix as they were at the revision."""
+
     items: list[Item]
     revision: Version
 
@@ -70,6 +84,8 @@
 
 
 class Commit(msgspec.Struct, frozen=True):
+    """A transaction: the writes are done if all keys have the given versions."""
+
     conditions: tuple[tuple[str, Version], ...]
     writes: tuple[Put | Remove, ...]
     then: Callable[[Committed | Conflict | NoSuchLease | None], None]
@@ -79,6 +95,8 @@
 
 
 class Read(msgspec.Struct, frozen=True):
+    """Read one key."""
+
     key: str
     then: Callable[[Found | None], None]
     patience_s: float = 1.5
@@ -86,12 +104,16 @@
 
 
 class Scan(msgspec.Struct, frozen=True):
+    """Read all keys with the prefix."""
+
     prefix: str
     then: Callable[[Listing | None], None]
     for_user: bool = False
 
 
 class Watch(msgspec.Struct, frozen=True):
+    """Wait for changes below the prefix after a revision, up to `block_s`."""
+
     prefix: str
     after: Version
     block_s: float
@@ -100,29 +122,41 @@
 
 
 class Grant(msgspec.Struct, frozen=True):
+    """Ask for a lease."""
+
     life_s: float
     then: Callable[[LeaseId | None], None]
 
 
 class Touch(msgspec.Struct, frozen=True):
+    """Renew a lease."""
+
     lease: LeaseId
     then: Callable[[bool | None], None]
     """True: renewed. False: the lease has ended."""
 
 
 class Revoke(msgspec.Struct, frozen=True):
+    """End a lease at once."""
+
     lease: LeaseId
 
 
 class ListTypes(msgspec.Struct, frozen=True):
+    """Read the machine types."""
+
     then: Callable[[Any], None]
 
 
 class ListMachines(msgspec.Struct, frozen=True):
+    """Read the machine list."""
+
     then: Callable[[Any], None]
 
 
 class Rent(msgspec.Struct, frozen=True):
+    """Rent machines; a repeat under the same name rents nothing more."""
+
     name: str
     type: str
     zone: str
@@ -133,22 +167,30 @@
 
 
 class DeleteMachines(msgspec.Struct, frozen=True):
+    """Return machines for good."""
+
     machines: tuple[str, ...]
     then: Callable[[bool], None]
 
 
 class StartOrder(msgspec.Struct, frozen=True):
+    """Start an attempt of a task."""
+
     task: str
     attempt: int
 
 
 class StopOrder(msgspec.Struct, frozen=True):
+    """Stop an attempt, which may save for so long."""
+
     task: str
     attempt: int
     grace_s: float
 
 
 class ClearOrder(msgspec.Struct, frozen=True):
+    """Forget an exited attempt."""
+
     task: str
     attempt: int
 
@@ -259,11 +301,14 @@
         self.effects: list[Effect] = []
 
     def add(self, effect: Effect) -> None:
+        """Do this outside, after the step."""
         self.effects.append(effect)
 
     def note(self, level: str, text: str) -> None:
+        """Log a line."""
         self.effects.append(Note(level, text))
 
     def take(self) -> list[Effect]:
+        """The effects so far, which are then no longer here."""
         effects, self.effects = self.effects, []
         return effects
--- a/src/crosscleat/core/election.py
+++ b/src/crosscleat/core/election.py
@@ -35,6 +35,8 @@
 
 
 class Election:
+    """Who leads: takes, keeps and gives up the leader key."""
+
     def __init__(
         self,
         member: Member,
@@ -66,9 +68,11 @@
 
     @property
     def leading(self) -> bool:
+        """Whether we hold the leader key."""
         return self.token is not None
 
     def begin(self) -> None:
+        """Look at the leader key for the first time."""
         epoch = self._epoch
         self._out.add(Read(LEADER, lambda found: self._looked(epoch, found)))
 
--- a/src/crosscleat/core/fleet.py
+++ b/src/crosscleat/core/fleet.py
@@ -33,6 +33,8 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolKey:
+    """Machines of one type, zone and kind of rental share a capacity."""
+
     type: TypeName
     zone: Zone
     spot: bool
@@ -40,22 +42,29 @@
 
 @dataclass(slots=True)
 class Pool:
+    """What rentals from a pool have shown of its capacity."""
+
     refused_until: Seconds = LONG_AGO
     backoff_s: float = 8.0
 
     def open(self, now: Seconds) -> bool:
+        """Whether to ask it again by now."""
         return self.refused_until <= now
 
     def refuse(self, now: Seconds) -> None:
+        """It had no capacity, or too little."""
         self.refused_until = Seconds(now + self.backoff_s)
         self.backoff_s = min(60.0, self.backoff_s * 1.7)
 
     def granted(self) -> None:
+        """It had all that was asked for."""
         self.backoff_s = 8.0
 
 
 @dataclass(frozen=True, slots=True)
 class Wanted:
+    """A batch to rent from one pool."""
+
     pool: PoolKey
     count: int
     overdue: bool = False
@@ -73,6 +82,7 @@
 
     @classmethod
     def of(cls, machine: Machine) -> Space:
+        """The room that its tasks leave on the machine."""
         kind = machine.type
         return cls(
             machine,
@@ -128,6 +138,7 @@
         self._sizes: deque[tuple[Seconds, float]] = deque()
 
     def sample(self, cpus: float, now: Seconds) -> None:
+        """Note how much is asked for now."""
         self._samples.append((now, cpus))
         for kept in (self._samples, self._sizes):
             while kept and now - kept[0][0] > WINDOW_S:
@@ -138,9 +149,11 @@
         self._sizes.append((now, job.spec.cpus * job.spec.tasks))
 
     def mean(self) -> float:
+        """Of the whole window."""
         return sum(c for _, c in self._samples) / len(self._samples) if self._samples else 0.0
 
     def lately(self, now: Seconds) -> float:
+        """The mean of the last `RECENT_S`."""
         lately = [c for at, c in self._samples if now - at <= RECENT_S]
         return sum(lately) / len(lately) if lately else 0.0
 
@@ -153,6 +166,7 @@
         return max(0.0, self.usual(now) - self.spread())
 
     def spread(self) -> float:
+        """Standard deviation in the window."""
         mean = self.mean()
         if len(self._samples) < 2:
             return 0.0
@@ -185,6 +199,7 @@
         """Of jobs that may be on ordinary machines only."""
 
     def pool(self, key: PoolKey) -> Pool:
+        """The pool with this key."""
         return self._pools.setdefault(key, Pool())
 
     def target_cpus(self) -> float:
@@ -206,6 +221,7 @@
         return self.risky.steady(now) + self._target(self.firm, usual)
 
     def arrived(self, job: Job, now: Seconds) -> None:
+        """Count a job that came in the demand that room is kept for."""
         if job.spec.priority >= Priority.HIGH:
             self.demand.arrived(job, now)
         if not job.spec.spot:
--- a/src/crosscleat/core/front.py
+++ b/src/crosscleat/core/front.py
@@ -52,6 +52,8 @@
 
 
 class Front:
+    """Answers users' requests on one controller."""
+
     def __init__(
         self,
         deployment: Deployment,
@@ -80,6 +82,7 @@
     # POST /work
 
     def submit(self, request: int, spec: JobSpec, wall: WallTime) -> None:
+        """Accept a job, or say why not."""
         if spec.ref in self._ended:
             self._answer_ended(request, spec.ref)
             return
@@ -130,6 +133,7 @@
     # GET /work/{id}
 
     def poll(self, request: int, ref: JobRef) -> None:
+        """Answer with the job's state."""
         self._look(request, ref, unknown=404)
 
     def _look(self, request: int, ref: JobRef, unknown: int) -> None:
--- a/src/crosscleat/core/ids.py
+++ b/src/crosscleat/core/ids.py
@@ -39,6 +39,7 @@
 
     @classmethod
     def parse(cls, text: str) -> TaskId | None:
+        """Read `job-000412/3`; None if it is malformed."""
         job, slash, number = text.rpartition("/")
         if not slash or not number.isascii() or not number.isdigit() or not is_job_ref(job):
             return None
@@ -59,4 +60,5 @@
 
 
 def is_job_ref(text: str) -> bool:
+    """Whether the text has the form of a job id."""
     return _JOB_REF.match(text) is not None
--- a/src/crosscleat/core/jobs.py
+++ b/src/crosscleat/core/jobs.py
@@ -38,27 +38,34 @@
 
 
 def live_key(ref: JobRef) -> str:
+    """Key of the record of a job that is not over."""
     return LIVE + ref
 
 
 def ended_key(ref: JobRef) -> str:
+    """Key of the record of a job's outcome."""
     return ENDED + ref
 
 
 def live_record(spec: JobSpec, submitted: WallTime, aborted: bool) -> Record:
+    """What is stored of a job until it is over."""
     return {"spec": msgspec.to_builtins(spec), "at": submitted, "aborted": aborted}
 
 
 def spec_of(record: Record) -> JobSpec:
+    """The job as its live record describes it."""
     return msgspec.convert(record["spec"], JobSpec)
 
 
 def ended_record(tasks: int, aborted: bool) -> Record:
+    """What is stored of a job's outcome, for good."""
     return {"tasks": tasks, "aborted": aborted}
 
 
 @dataclass(slots=True)
 class Placement:
+    """Where the present attempt of a task may be."""
+
     attempt: Attempt
     machine: MachineId
     session: Session
@@ -101,6 +108,8 @@
 
 @dataclass(slots=True, eq=False)
 class Job:
+    """A job and the state of its tasks, as the leader holds them."""
+
     spec: JobSpec
     version: Version
     submitted: Seconds
@@ -134,9 +143,11 @@
 
     @property
     def ref(self) -> JobRef:
+        """The job's id."""
         return self.spec.ref
 
     def stretch_of(self, index: int) -> Stretch:
+        """The stretch that holds the task."""
         return self._stretch(index // self.span)
 
     def _stretch(self, number: int) -> Stretch:
@@ -147,6 +158,7 @@
 
     @property
     def gang(self) -> bool:
+        """Whether its tasks run together or not at all."""
         return self.spec.shape is Shape.GANG
 
     @property
@@ -162,6 +174,7 @@
         return self.fresh > 0
 
     def waiting_count(self) -> int:
+        """Tasks that could be placed now."""
         return self.spec.tasks - self.fresh + len(self.again)
 
     @property
@@ -170,6 +183,7 @@
         return 0 < self.placed_count() < self.spec.tasks and not self.done_count
 
     def placed_count(self) -> int:
+        """Tasks that may be on a machine."""
         return sum(len(s.placed) for s in self.stretches.values())
 
     def idle_s(self, now: Seconds) -> float:
@@ -177,6 +191,7 @@
         return 0.0 if self.placed_count() else now - max(self.submitted, self.idle_since)
 
     def wake(self, now: Seconds) -> None:
+        """Let tasks be tried again that have rested for long enough."""
         while self.resting and self.resting[0][0] <= now:
             self.again.append(heapq.heappop(self.resting)[1])
 
@@ -294,11 +309,13 @@
         self.fresh = self.spec.tasks
 
     def is_placed(self, index: int) -> bool:
+        """Whether an attempt of the task may be on a machine."""
         stretch = self.stretches.get(index // self.span)
         return stretch is not None and index in stretch.placed
 
     @property
     def complete(self) -> bool:
+        """Whether all tasks are done."""
         return self.done_count >= self.spec.tasks
 
     def over(self) -> bool:
--- a/src/crosscleat/core/liveness.py
+++ b/src/crosscleat/core/liveness.py
@@ -35,6 +35,8 @@
 
 
 class Liveness:
+    """Counts who is silent or deaf, and asks after them."""
+
     def __init__(
         self,
         deployment: Deployment,
--- a/src/crosscleat/core/losses.py
+++ b/src/crosscleat/core/losses.py
@@ -20,12 +20,15 @@
 
 
 class Losses:
+    """The rate at which cheap machines are taken, as far as this term saw."""
+
     def __init__(self) -> None:
         self._exposed_s = PRIOR_S
         self._taken = PRIOR_S * PRIOR_RATE
         self._new = 0
 
     def taken(self) -> None:
+        """A cheap machine was taken, or is about to be."""
         self._new += 1
 
     def passed(self, seconds: float, machines: int) -> None:
@@ -37,6 +40,7 @@
 
     @property
     def rate(self) -> float:
+        """Losses per machine and second."""
         return self._taken / self._exposed_s
 
     def at_risk(self, job: Job, scorer: Scorer, now: Seconds) -> bool:
--- a/src/crosscleat/core/model.py
+++ b/src/crosscleat/core/model.py
@@ -12,6 +12,8 @@
 
 
 class Priority(enum.IntEnum):
+    """Order of precedence of jobs."""
+
     LOW = 0
     NORMAL = 1
     HIGH = 2
@@ -19,6 +21,8 @@
 
 
 class Shape(enum.IntEnum):
+    """How the tasks of a job belong together."""
+
     ARRAY = 0
     """Independent tasks, each runs to completion."""
     GANG = 1
@@ -58,6 +62,8 @@
 
 @dataclass(frozen=True, slots=True)
 class MachineType:
+    """A machine type as the cloud describes it."""
+
     name: TypeName
     cpus: float
     gpus: float
@@ -70,6 +76,7 @@
     zones: tuple[Zone, ...]
 
     def price_for(self, spot: bool) -> float:
+        """Price per hour on the spot market or not."""
         return self.spot_price if spot else self.price
 
     def holds(self, job: JobSpec) -> bool:
@@ -85,6 +92,8 @@
 
 @dataclass(frozen=True, slots=True)
 class TeamLimits:
+    """What a team is guaranteed and may use at most."""
+
     name: Team
     cpus: float
     cpus_max: float
@@ -94,6 +103,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Objective:
+    """One of the aims in the settings."""
+
     kind: str
     job_class: str | None
     within_s: float | None
--- a/src/crosscleat/core/parting.py
+++ b/src/crosscleat/core/parting.py
@@ -26,6 +26,8 @@
 
 
 class JobView(msgspec.Struct, array_like=True, frozen=True):
+    """What an owner needs to know of a waiting job."""
+
     spec: JobSpec
     age_s: float
     waiting: int
@@ -35,6 +37,8 @@
 
 
 class RoomView(msgspec.Struct, array_like=True, frozen=True):
+    """What an owner needs to know of a machine with room."""
+
     machine: MachineId
     type: TypeName
     zone: Zone
@@ -69,6 +73,7 @@
 
 
 def owner(job: JobRef, members: tuple[Member, ...]) -> Member:
+    """The controller that plans the job."""
     return members[zlib.crc32(job.encode()) % len(members)]
 
 
@@ -117,6 +122,7 @@
     factors: dict[str, float],
     now: Seconds,
 ) -> View:
+    """An owner's part as it is sent."""
     found = sorted(jobs, key=lambda job: (-job.spec.priority, job.submitted))[:MOST_JOBS]
     return View(
         number,
--- a/src/crosscleat/core/placements.py
+++ b/src/crosscleat/core/placements.py
@@ -43,6 +43,8 @@
 
 @dataclass(slots=True)
 class Hold:
+    """The room, quota and place that one attempt takes until it is proven gone."""
+
     task: TaskId
     attempt: Attempt
     spec: JobSpec
@@ -74,6 +76,8 @@
 
 @dataclass(slots=True)
 class Machine:
+    """A machine as the leader knows it."""
+
     id: MachineId
     type: MachineType
     zone: Zone
@@ -154,6 +158,7 @@
         }
 
     def fits(self, job: JobSpec) -> bool:
+        """Whether one task of the job fits beside what may be there."""
         return (
             self.used_cpus + job.cpus <= self.type.cpus + 1e-9
             and self.used_memory + job.memory_gb <= self.type.memory_gb + 1e-9
@@ -172,6 +177,7 @@
                 del self.images[old], self.image_gb[old]
 
     def allowed(self, job: JobSpec) -> bool:
+        """Whether the job may be on this machine at all."""
         return (
             (job.types is None or self.type.name in job.types)
             and (job.zone is None or job.zone == self.zone)
@@ -201,10 +207,12 @@
         self.job_zones: dict[str, dict[Zone, int]] = {}
 
     def add(self, machine: Machine, hold: Hold) -> None:
+        """Count what the hold takes."""
         machine.holds[hold.task, hold.attempt] = hold
         self._count(machine, hold, 1)
 
     def remove(self, machine: Machine, hold: Hold) -> None:
+        """The attempt is proven gone."""
         if machine.holds.pop((hold.task, hold.attempt), None) is not None:
             self._count(machine, hold, -1)
 
--- a/src/crosscleat/core/records.py
+++ b/src/crosscleat/core/records.py
@@ -58,6 +58,7 @@
 
     @property
     def key(self) -> str:
+        """Its key in the store."""
         return f"{WORK}{self.number}"
 
     def want(self, priority: Priority | None, now: Seconds) -> None:
@@ -72,6 +73,7 @@
             self.urgent = max(self.urgent, priority)
 
     def value(self) -> Record:
+        """What is stored under it."""
         jobs = [
             [ref, number, *job.work_record(stretch)]
             for (ref, number), (job, stretch) in self.members.items()
@@ -90,6 +92,8 @@
 
 
 class WorkRecords:
+    """All records of placements, and which stretch is in which."""
+
     def __init__(self, value_kb: float, txn_ops: int, cut: bool) -> None:
         """`cut`: whether stretches may be cut to fit a value, as no older version reads them."""
         self.span = span_of(value_kb) if cut else STRETCH
@@ -142,6 +146,7 @@
             stretch.record = None
 
     def written(self, stretches: Iterable[tuple[Job, Stretch]]) -> None:
+        """These stretches are on record in our length."""
         keys = {(job.ref, stretch.number) for job, stretch in stretches}
         for old in self._superseded:
             old.waiting -= keys
@@ -202,6 +207,7 @@
         return [r for r in self._records.values() if r.dirty or (not r.members and not r.closing)]
 
     def removed(self, record: WorkRecord) -> None:
+        """The record is gone from the store."""
         del self._records[record.number]
 
 
@@ -215,19 +221,24 @@
 
     @property
     def key(self) -> str:
+        """Its key in the store."""
         return f"{DROP}{self.number}"
 
     def put(self, more: Iterable[MachineId]) -> Put:
+        """The write that adds these names."""
         return Put(self.key, {"machines": [*self.names, *more]})
 
 
 class DropRecords:
+    """All records of deletions."""
+
     def __init__(self, value_kb: float) -> None:
         self._most = min(MOST_NAMES, int(value_kb * 1024 * FULL) // NAME_BYTES)
         self._records: dict[int, DropRecord] = {}
         self._next = 1
 
     def load(self, items: Iterable[Item]) -> list[MachineId]:
+        """Take over what an earlier leader left; the names on record."""
         for item in items:
             record = DropRecord(int(item.key.removeprefix(DROP)), item.version)
             record.names = dict.fromkeys(MachineId(name) for name in item.value["machines"])
--- a/src/crosscleat/core/scoring.py
+++ b/src/crosscleat/core/scoring.py
@@ -32,6 +32,7 @@
         self.factors: dict[str, float] = {}
 
     def learn(self, job: JobSpec, ran_s: float) -> None:
+        """Compare a completed run with its owner's estimate."""
         if job.estimate_s <= 0 or ran_s <= 0:
             return
         ratios = self._ratios.setdefault(job.job_class, deque(maxlen=64))
@@ -40,6 +41,7 @@
         self.factors[job.job_class] = (sum(ratios) + 2.0) / (len(ratios) + 2)
 
     def estimate(self, job: JobSpec) -> float:
+        """The owner's estimate, corrected by what the class has shown."""
         return max(0.1, job.estimate_s * self.factors.get(job.job_class, 1.0))
 
 
@@ -91,6 +93,7 @@
         return limits
 
     def run_s(self, job: JobSpec) -> float:
+        """Estimated run time of one of the job's tasks."""
         return self._run_times.estimate(job)
 
     def share(self, job: JobSpec, machine: MachineType) -> float:
--- a/src/crosscleat/core/upgrade.py
+++ b/src/crosscleat/core/upgrade.py
@@ -30,6 +30,8 @@
 
 
 class Upgrade:
+    """Learns when all controllers run this version."""
+
     def __init__(
         self,
         member: Member,
@@ -44,6 +46,8 @@
         self.complete = False
 
     def begin(self) -> None:
+        """Put our key, then look for those of the others."""
+
         def put(result: Committed | Conflict | NoSuchLease | None) -> None:
             # A conflict: an earlier process of ours has put it, or this very try did.
             if isinstance(result, (Committed, Conflict)):
--- a/src/crosscleat/settings.py
+++ b/src/crosscleat/settings.py
@@ -26,17 +26,23 @@
 
 
 class Peer(msgspec.Struct):
+    """Another controller."""
+
     member: Name
     endpoint: Address
     zone: str = ""
 
 
 class Endpoints(msgspec.Struct):
+    """Addresses of the services outside."""
+
     cloud: Address
     state: Address
 
 
 class TeamSettings(msgspec.Struct):
+    """Guarantee and limit of a team; 0: none."""
+
     name: Name
     cpus: Amount = 0.0
     cpus_max: Amount = 0.0
@@ -45,12 +51,16 @@
 
 
 class ObjectiveSettings(msgspec.Struct, rename={"job_class": "class"}):
+    """One of the aims."""
+
     kind: str
     job_class: str | None = None
     within_s: Amount | None = None
 
 
 class WorkerSettings(msgspec.Struct):
+    """Times that workers keep to."""
+
     report_s: Positive
     lease_s: Positive
     cancel_s: Positive
@@ -68,6 +78,8 @@
 
 
 class StateSettings(msgspec.Struct):
+    """Limits of the state service."""
+
     rps: Positive
     write_rps: Positive
     value_kb: LeastValue
@@ -86,14 +98,20 @@
 
 
 class CloudSettings(msgspec.Struct):
+    """Limits of the cloud API."""
+
     rps: Positive
 
 
 class Resources(msgspec.Struct):
+    """What the platform allows a controller."""
+
     max_sockets: Annotated[int, Meta(ge=16)] = 1000
 
 
 class Params(msgspec.Struct):
+    """The part that is the same for all controllers."""
+
     teams: list[TeamSettings]
     workers: WorkerSettings
     state: StateSettings
@@ -103,6 +121,8 @@
 
 
 class Settings(msgspec.Struct):
+    """A controller's settings file."""
+
     member: Name
     listen: Address
     peer_bind: Address
@@ -112,6 +132,7 @@
     peers: list[Peer] = []
 
     def deployment(self, knobs: Knobs) -> Deployment:
+        """What decisions depend on."""
         params = self.settings
         state = params.state.tighter()
         members = {self.member, *(peer.member for peer in self.peers)}
@@ -135,6 +156,7 @@
 
 
 def load(path: Path) -> Settings:
+    """Read a settings file; raises SettingsError."""
     try:
         raw = tomllib.loads(path.read_text())
     except OSError as error:
@@ -145,6 +167,7 @@
 
 
 def parse(raw: object, origin: str) -> Settings:
+    """Check settings that were read from `origin`; raises SettingsError."""
     try:
         settings = msgspec.convert(raw, Settings)
     except msgspec.ValidationError as error:
--- a/src/crosscleat/wire/cloud.py
+++ b/src/crosscleat/wire/cloud.py
@@ -11,6 +11,8 @@
 
 
 class Rig(msgspec.Struct):
+    """A machine type."""
+
     sku: str
     cores: float
     memory_gb: float
@@ -23,6 +25,7 @@
     ready_s: float = 60.0
 
     def kind(self) -> MachineType:
+        """As the core knows it."""
         return MachineType(
             name=TypeName(self.sku),
             cpus=self.cores,
@@ -38,14 +41,20 @@
 
 
 class Rigs(msgspec.Struct):
+    """Answer of GET /machine_types."""
+
     rigs: list[Rig]
 
 
 class Hired(msgspec.Struct):
+    """Answer of POST /rentals."""
+
     boxes: list[str]
 
 
 class Box(msgspec.Struct):
+    """A machine in the list."""
+
     ref: str
     rig: str
     yard: str
@@ -55,6 +64,7 @@
     age_s: float = 0.0
 
     def machine(self) -> ListedMachine:
+        """As the core knows it."""
         return ListedMachine(
             MachineId(self.ref),
             self.addr,
@@ -67,6 +77,8 @@
 
 
 class Boxes(msgspec.Struct):
+    """Answer of GET /rentals."""
+
     boxes: list[Box]
     more: bool = False
 
@@ -78,6 +90,7 @@
 
 
 def rent(order: Rent) -> bytes:
+    """Body of POST /rentals."""
     return _encoder.encode(
         {
             "hire": order.name,
@@ -90,4 +103,5 @@
 
 
 def delete(machines: tuple[str, ...]) -> bytes:
+    """Body of POST /rentals/delete."""
     return _encoder.encode({"boxes": list(machines)})
--- a/src/crosscleat/wire/peers.py
+++ b/src/crosscleat/wire/peers.py
@@ -78,6 +78,7 @@
 
 
 def frame(message: Message) -> bytes:
+    """The message with its length in front, as it is sent."""
     body = _encoder.encode(message)
     return len(body).to_bytes(4, "big") + body
 
--- a/src/crosscleat/wire/state.py
+++ b/src/crosscleat/wire/state.py
@@ -11,33 +11,46 @@
 
 
 class Pair(msgspec.Struct):
+    """A key with its value."""
+
     path: str
     data: Any
     stamp: int
 
     def item(self) -> Item:
+        """As the core knows it."""
         return Item(self.path, self.data, Version(self.stamp))
 
 
 class Page(msgspec.Struct):
+    """Answer of GET /kv with a prefix."""
+
     pairs: list[Pair]
     more: bool
     ledger_rev: int
 
 
 class Revision(msgspec.Struct):
+    """Answer of a transaction that was carried out."""
+
     ledger_rev: int
 
 
 class Refused(msgspec.Struct):
+    """Answer of a transaction whose conditions failed."""
+
     failed: list[str]
 
 
 class Permit(msgspec.Struct):
+    """Answer of POST /grants."""
+
     permit: int
 
 
 class Change(msgspec.Struct, rename={"put": "set"}):
+    """One change in a watch."""
+
     put: str | None = None
     delete: str | None = None
     data: Any = None
@@ -51,6 +64,8 @@
 
 
 class Changes(msgspec.Struct):
+    """Answer of GET /changes."""
+
     ledger_rev: int
     news: list[Change] = []
 
@@ -85,4 +100,5 @@
 
 
 def grant(life_s: float) -> bytes:
+    """Body of POST /grants."""
     return _encoder.encode({"life_ms": int(life_s * 1000)})
--- a/src/crosscleat/wire/users.py
+++ b/src/crosscleat/wire/users.py
@@ -53,6 +53,7 @@
     due_s: Amount | None = None
 
     def job(self) -> JobSpec:
+        """As the core knows it."""
         return JobSpec(
             ref=JobRef(self.ref),
             job_class=self.jobline,
--- a/src/crosscleat/wire/workers.py
+++ b/src/crosscleat/wire/workers.py
@@ -21,6 +21,8 @@
 
 
 class Pick(msgspec.Struct, rename={"attempt": "try"}):
+    """One task in a report."""
+
     pick: str
     attempt: int
     status: str
@@ -48,6 +50,7 @@
 
 
 def parse_check_in(body: bytes) -> Report | None:
+    """A report; None if it is malformed."""
     try:
         raw = _decoder.decode(body)
     except (msgspec.DecodeError, ValueError, RecursionError):
@@ -86,10 +89,12 @@
 
 
 def answer(token: Token, orders: tuple[Order, ...]) -> bytes:
+    """Body of the answer to a check-in."""
     return _encoder.encode({"baton": token, "orders": [_order(o) for o in orders]})
 
 
 def direct(token: Token, session: Session, orders: tuple[Order, ...]) -> bytes:
+    """Body of POST /do."""
     return _encoder.encode(
         {"baton": token, "shift": session, "orders": [_order(o) for o in orders]}
     )
