--- a/src/crosscleat/core/feasibility.py
+++ b/src/crosscleat/core/feasibility.py
@@ -35,11 +35,13 @@
         teams: dict[Team, TeamLimits],
         now: Seconds,
         urgent_reserve: float,
+        backfill_reserve: float = 0.0,
     ) -> None:
         self._ledger = ledger
         self._teams = teams
         self._now = now
         self._urgent_reserve = urgent_reserve
+        self._backfill_reserve = backfill_reserve
         self._cpus = dict(ledger.team_cpus)
         self._gpus = dict(ledger.team_gpus)
         self._zones: dict[JobRef, dict[str, int]] = {}
@@ -104,7 +106,8 @@
     def _leaves_urgent_reserve(self, job: Job, count: int) -> bool:
         if job.spec.priority >= Priority.HIGH or self.gang_is_due(job):
             return True
-        return self._free_cpus - count * job.spec.cpus >= self._urgent_reserve
+        reserve = self._backfill_reserve if job.backfill else self._urgent_reserve
+        return self._free_cpus - count * job.spec.cpus >= reserve
 
     def admits_all(self, job: Job, count: int) -> bool:
         """Whether so many tasks at once keep to the team's limit and leave room to urgent work."""
--- a/src/crosscleat/core/fleet.py
+++ b/src/crosscleat/core/fleet.py
@@ -10,8 +10,9 @@
 from .capacity import fetch_time, fitting, troubled
 from .ids import LONG_AGO, Seconds, Team, TypeName, Zone
 from .jobs import Job
-from .model import JobSpec, Knobs, MachineType, Priority, TeamLimits
+from .model import JobSpec, Knobs, MachineType, Priority, TeamLimits, is_backfill
 from .placements import Machine
+from .preemption import COUNTED_START_S
 
 MOST_PER_RENTAL = 50
 WINDOW_S = 120.0
@@ -215,9 +216,16 @@
         """
         return self._target(self.demand, self.demand.mean())
 
+    def spare_cpus(self) -> float:
+        """Room beside the usual demand, for its usual swings."""
+        return self._spare(self.demand, self.demand.mean())
+
     def _target(self, demand: Demand, usual: float) -> float:
+        return usual + self._spare(demand, usual)
+
+    def _spare(self, demand: Demand, usual: float) -> float:
         swings = self._knobs.swings * demand.spread()
-        return usual + max(swings, self._knobs.headroom * usual, demand.one_job())
+        return max(swings, self._knobs.headroom * usual, demand.one_job())
 
     def ordinary_cpus(self, now: Seconds) -> float:
         """Of ordinary machines, the room to keep: for what is nearly always at risk, and, as the
@@ -308,7 +316,7 @@
 
         One that takes longer may take several times as long, and work would wait for it.
         """
-        if machine.dropping or machine.suspect or machine.recall_at is not None:
+        if machine.dropping or machine.draining:
             return False
         if machine.booted:
             return True
@@ -413,28 +421,47 @@
     def _pools_of(self, kind: MachineType) -> list[PoolKey]:
         return [PoolKey(kind.name, zone, spot) for zone in kind.zones for spot in (True, False)]
 
-    def returnable(self, machines: Iterable[Machine], now: Seconds) -> list[Machine]:
-        """Idle machines that the warm room does not need, the dearest first."""
-        usable = [m for m in machines if m.up and not m.dropping]
+    def returnable(
+        self, machines: Iterable[Machine], teams: dict[Team, TeamLimits], now: Seconds
+    ) -> list[Machine]:
+        """Machines that the warm room does not need, the dearest first: those that are idle, and
+        dear ones that backfill alone keeps in use."""
+        usable = [m for m in machines if m.up and not m.dropping and not m.surplus]
         capacity = sum(m.type.cpus for m in usable)
-        idle = sorted(
-            (m for m in usable if m.idle_since is not None),
+        unneeded = sorted(
+            (m for m in usable if m.idle_since is not None or self._only_backfill(m, teams, now)),
             key=lambda m: -m.type.price_for(m.spot) / max(m.type.cpus, 1e-9),
         )
         found = []
         usual = self.demand.usual(now)
         warm = self.target_cpus()
         safe = ordinary(usable) - self.ordinary_cpus(now)
-        for machine in idle:
-            dear = self.dear(machine.type, machine.spot)
-            target = usual if dear else warm
-            patience = DEAR_IDLE_S if dear else self._knobs.idle_return_s
-            rested = now - (machine.idle_since or now) >= patience
+        for machine in unneeded:
+            target = usual if self.dear(machine.type, machine.spot) else warm
             paid = now - machine.born >= LEAST_CHARGE_S
             if not machine.spot and safe < machine.type.cpus:
                 continue
-            if rested and paid and capacity - machine.type.cpus >= target:
+            if paid and self._rested(machine, now) and capacity - machine.type.cpus >= target:
                 capacity -= machine.type.cpus
                 safe -= 0.0 if machine.spot else machine.type.cpus
                 found.append(machine)
         return found
+
+    def _rested(self, machine: Machine, now: Seconds) -> bool:
+        """Whether it has been idle for long enough, if it is idle."""
+        dear = self.dear(machine.type, machine.spot)
+        patience_s = DEAR_IDLE_S if dear else self._knobs.idle_return_s
+        return machine.idle_since is None or now - machine.idle_since >= patience_s
+
+    def _only_backfill(self, machine: Machine, teams: dict[Team, TeamLimits], now: Seconds) -> bool:
+        """Whether it is dear, and all that runs on it is backfill whose start counts by now."""
+        return (
+            bool(machine.holds)
+            and self.dear(machine.type, machine.spot)
+            and all(
+                is_backfill(hold.spec, teams)
+                and hold.running_since is not None
+                and now - hold.running_since > COUNTED_START_S
+                for hold in machine.holds.values()
+            )
+        )
--- a/src/crosscleat/core/leader.py
+++ b/src/crosscleat/core/leader.py
@@ -147,7 +147,7 @@
             self.gangs,
             self.work,
             self.writer,
-            self._withdraw,
+            self._preempt,
             lambda machine, hold: self.gone(machine, hold, self.term.now, None),
             rng,
         )
@@ -160,6 +160,7 @@
             self.interruptions,
             self.machines.enter_rented,
             self.machines.drop,
+            self._release,
         )
         self._full_round_at = now
         self._unknown_words: set[str] = set()
@@ -254,6 +255,17 @@
         if not hold.listed and not machine.may_still_start(hold):
             self.gone(machine, hold, self.term.now, None)
 
+    def _preempt(self, machine: Machine, hold: Hold) -> None:
+        """Stop the attempt, with time to save its progress if it can."""
+        self._withdraw(machine, hold, hold.spec.save_s if hold.spec.checkpoint_s > 0 else 0.0)
+
+    def _release(self, machine: Machine) -> None:
+        """Stop what is on the machine, which is returned when the last of it is gone."""
+        machine.surplus = True
+        self.out.note("info", f"machine {machine.id}: only backfill runs on it, draining")
+        for hold in list(machine.holds.values()):
+            self._preempt(machine, hold)
+
     # Workers
 
     def check_in(self, request: int, report: Report, now: Seconds, relayed: bool) -> None:
--- a/src/crosscleat/core/machines.py
+++ b/src/crosscleat/core/machines.py
@@ -186,9 +186,8 @@
         return (
             machine.up
             and not machine.dropping
-            and not machine.suspect
+            and not machine.draining
             and not machine.strays
-            and machine.recall_at is None
             and machine.full_until <= now
             and machine.type is not UNKNOWN_TYPE
             and machine.known
@@ -213,8 +212,7 @@
             machine.mute = True
             return f"silent for {now - machine.last_heard:.0f} s"
         if machine.up:
-            drained = machine.suspect or machine.recall_at is not None
-            return "drained" if drained and not machine.holds else None
+            return "drained" if machine.draining and not machine.holds else None
         if machine.booted:
             # Running, and not heard of in this term: it may be cut off from us.
             return None
--- a/src/crosscleat/core/placements.py
+++ b/src/crosscleat/core/placements.py
@@ -14,7 +14,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection
+from collections.abc import Collection, Iterator
 from dataclasses import dataclass, field
 
 from .ids import (
@@ -27,6 +27,7 @@
     Seen,
     Session,
     TaskId,
+    Team,
     Token,
     TypeName,
     Zone,
@@ -106,6 +107,8 @@
     """When anyone could last have renewed the worker's lease."""
     recall_at: Seconds | None = None
     suspect: bool = False
+    surplus: bool = False
+    """It is not needed any more, and returned once it is empty."""
     errors: set[str] = field(default_factory=set)
     full_until: Seconds = LONG_AGO
     dropping: bool = False
@@ -142,6 +145,11 @@
         """Whether it has come up, as its own reports or the cloud's list say."""
         return self.up or self.listed_running
 
+    @property
+    def draining(self) -> bool:
+        """Whether nothing more is placed on it, and it is returned once it is empty."""
+        return self.suspect or self.surplus or self.recall_at is not None
+
     def begin_session(self) -> None:
         """Its lease ran out: what it did and heard before means nothing any more."""
         self.exited.clear()
@@ -211,12 +219,14 @@
         self.team_cpus: dict[str, float] = {}
         self.team_gpus: dict[str, float] = {}
         self.job_zones: dict[str, dict[Zone, int]] = {}
-        self._running: dict[Priority, dict[MachineId, int]] = {}
-        """How many holds of each priority a machine has."""
+        self._running: dict[tuple[Team, Priority], dict[MachineId, int]] = {}
+        """How many holds of each team and priority a machine has."""
 
-    def machines_running(self, priority: Priority) -> Collection[MachineId]:
-        """The machines with holds of this priority."""
-        return self._running.get(priority, {}).keys()
+    def running(self) -> Iterator[tuple[Team, Priority, Collection[MachineId]]]:
+        """Teams and priorities of which there are holds, and the machines that have them."""
+        for (team, priority), machines in self._running.items():
+            if machines:
+                yield team, priority, machines.keys()
 
     def add(self, machine: Machine, hold: Hold) -> None:
         """Count what the hold takes."""
@@ -246,7 +256,7 @@
             machine.used_cpus = machine.used_gpus = machine.used_memory = 0.0
         self.team_cpus[job.team] = self.team_cpus.get(job.team, 0.0) + sign * job.cpus
         self.team_gpus[job.team] = self.team_gpus.get(job.team, 0.0) + sign * job.gpus
-        running = self._running.setdefault(job.priority, {})
+        running = self._running.setdefault((job.team, job.priority), {})
         running[machine.id] = running.get(machine.id, 0) + sign
         if running[machine.id] <= 0:
             del running[machine.id]
--- a/src/crosscleat/core/preemption.py
+++ b/src/crosscleat/core/preemption.py
@@ -1,5 +1,7 @@
-"""Which running tasks are stopped to make room for work of a higher priority.
+"""Which running tasks are stopped to make room for others.
 
+Work yields to work of a higher priority if its own is the lowest, or if its team has no guarantee;
+and work of a team without a guarantee yields to a team that is within its own.
 A task that was told to stop keeps its room until it is proven gone, so the room that is being
 freed is reckoned with before more tasks are stopped, and a later round places what waits.
 """
@@ -15,7 +17,7 @@
 from .capacity import Room, fitting, troubled
 from .ids import JobRef, MachineId, Seconds, Team
 from .jobs import Job
-from .model import Priority, Shape, TeamLimits
+from .model import Priority, Shape, TeamLimits, has_guarantee
 from .placements import AttemptKey, Hold, Ledger, Machine
 
 INTERVAL_S = 0.5
@@ -65,6 +67,7 @@
         self._now = now
         self._rooms: dict[MachineId, Room] = {}
         """Room that is left once all that was told to stop is gone."""
+        self._running = list(ledger.running())
         self._cpus = dict(ledger.team_cpus)
         self._chosen: list[Victim] = []
         self._stopped: set[tuple[MachineId, AttemptKey]] = set()
@@ -72,25 +75,40 @@
 
     def choose(self, waiting: Iterable[Job]) -> list[Victim]:
         """The tasks to stop, for the most urgent and oldest of the waiting jobs first."""
-        for job in sorted(waiting, key=lambda job: (-job.spec.priority, job.submitted)):
+        if not any(self._ever_yields(team, priority) for team, priority, _ in self._running):
+            return []
+        found = [job for job in waiting if self._may_preempt(job)]
+        for job in sorted(found, key=lambda job: (-job.spec.priority, job.submitted)):
             if len(self._chosen) >= MOST_STOPPED:
                 break
-            if self._may_preempt(job):
-                self._make_room(job)
+            self._make_room(job)
         return self._chosen
 
     def _may_preempt(self, job: Job) -> bool:
         """Gangs are left out: they need all their room at one time."""
+        return job.waiting_count() > 0 and not job.gang and not troubled(job)
+
+    def _ever_yields(self, team: Team, priority: Priority) -> bool:
+        return priority is Priority.LOW or not has_guarantee(team, self._teams)
+
+    def _yields(self, team: Team, priority: Priority, job: Job) -> bool:
+        """Whether work of that team and priority makes room for the job."""
+        if priority < job.spec.priority and self._ever_yields(team, priority):
+            return True
         return (
-            job.waiting_count() > 0
-            and not job.gang
-            and not troubled(job)
-            and any(self._ledger.machines_running(lower) for lower in _below(job.spec.priority))
+            not has_guarantee(team, self._teams)
+            and team != job.spec.team
+            and self._within_guarantee(job)
         )
 
+    def _within_guarantee(self, job: Job) -> bool:
+        limits = self._teams.get(job.spec.team)
+        used = self._cpus.get(job.spec.team, 0.0)
+        return limits is not None and used + job.spec.cpus <= limits.cpus
+
     def _make_room(self, job: Job) -> None:
         wanted = min(job.waiting_count(), self._within_limit(job))
-        rooms = self._rooms_with_lower_work(job)
+        rooms = self._rooms_with_yielding_work(job)
         wanted -= self._count_freed_room(job, rooms, wanted)
         if wanted <= 0:
             return
@@ -114,11 +132,12 @@
         left = limits.cpus_max - self._cpus.get(job.spec.team, 0.0)
         return max(0, int(left / job.spec.cpus + 1e-9))
 
-    def _rooms_with_lower_work(self, job: Job) -> list[Room]:
-        """Machines that the job may use and on which work of a lower priority runs."""
+    def _rooms_with_yielding_work(self, job: Job) -> list[Room]:
+        """Machines that the job may use and on which work runs that makes room for it."""
         found: dict[MachineId, None] = {}
-        for lower in _below(job.spec.priority):
-            found.update(dict.fromkeys(self._ledger.machines_running(lower)))
+        for team, priority, machines in self._running:
+            if self._yields(team, priority, job):
+                found.update(dict.fromkeys(machines))
         names = list(found)
         if len(names) > MOST_MACHINES:
             names = self._rng.sample(names, MOST_MACHINES)
@@ -173,7 +192,7 @@
     def _stoppable(self, job: Job, machine: Machine) -> Iterator[tuple[float, Hold]]:
         for hold in machine.holds.values():
             if (
-                hold.spec.priority < job.spec.priority
+                self._yields(hold.spec.team, hold.spec.priority, job)
                 and not hold.withdrawn
                 and (machine.id, hold.key) not in self._stopped
                 and hold.spec.shape is not Shape.GANG
@@ -200,7 +219,3 @@
             self._stopped.add((hold.machine, hold.key))
             option.room.give_back(hold.spec)
             self._chosen.append(Victim(option.room.machine, hold))
-
-
-def _below(priority: Priority) -> Iterator[Priority]:
-    return (lower for lower in Priority if lower < priority)
--- a/src/crosscleat/core/renting.py
+++ b/src/crosscleat/core/renting.py
@@ -36,7 +36,9 @@
         interruptions: InterruptionStats,
         enter_rented: Callable[[PoolKey, MachineId], None],
         drop: Callable[[Machine, str], None],
+        release: Callable[[Machine], None],
     ) -> None:
+        """`drop`: return it; `release`: stop what is on it, then return it."""
         self._term = term
         self._jobs = jobs
         self._ledger = ledger
@@ -45,6 +47,7 @@
         self._interruptions = interruptions
         self._enter_rented = enter_rented
         self._drop = drop
+        self._release = release
         self._budget: Budget | None = None
         self._under_way = False
         self._number = 0
@@ -81,8 +84,11 @@
             waiting = self._waiting_cost(jobs)
             if wanted.overdue or self._budget.admits(rate, more, waiting, now):
                 self.rent(wanted)
-        for machine in self._fleet.returnable(machines, now):
-            self._drop(machine, "idle")
+        for machine in self._fleet.returnable(machines, self._term.deployment.teams, now):
+            if machine.holds:
+                self._release(machine)
+            else:
+                self._drop(machine, "idle")
 
     def _judge_risks(self, now: Seconds) -> None:
         """Once a second, whose tasks had better not be lost; which may change with their age."""
--- a/src/crosscleat/core/rounds.py
+++ b/src/crosscleat/core/rounds.py
@@ -49,13 +49,16 @@
         drop_threshold: float,
         urgent_reserve: float,
         ordinary_reserve: float = 0.0,
+        backfill_reserve: float = 0.0,
     ) -> None:
+        """The reserves are CPUs that less urgent work, work that may use spot machines and
+        backfill leave free."""
         self._scorer = scorer
         self._rng = rng
         self._now = now
         self._threshold = drop_threshold
         self._ordinary_reserve = ordinary_reserve
-        self._feasible = Feasibility(ledger, teams, now, urgent_reserve)
+        self._feasible = Feasibility(ledger, teams, now, urgent_reserve, backfill_reserve)
         self._gangs = GangPlacer(self._feasible, scorer, now)
         self._open: list[Room] = []
         """Those that could have at least the smallest task."""
--- a/src/crosscleat/core/scheduling.py
+++ b/src/crosscleat/core/scheduling.py
@@ -38,11 +38,11 @@
         gangs: GangControl,
         work: WorkRecords,
         writer: Writer,
-        withdraw: Callable[[Machine, Hold, float], None],
+        stop: Callable[[Machine, Hold], None],
         gone: Callable[[Machine, Hold], None],
         rng: Random,
     ) -> None:
-        """`withdraw`: stop an attempt with so much time to save; `gone`: it was never sent."""
+        """`stop`: an attempt is to make room; `gone`: it was never sent."""
         self._term = term
         self._jobs = jobs
         self._ledger = ledger
@@ -53,7 +53,7 @@
         self._gangs = gangs
         self._work = work
         self._writer = writer
-        self._withdraw = withdraw
+        self._stop = stop
         self._gone = gone
         self._rng = rng
         self._sharing = WorkSharing(term, ledger)
@@ -112,8 +112,7 @@
         preemption = Preemption(self._ledger, teams, self._jobs, machines, self._rng, now)
         victims = preemption.choose(jobs)
         for machine, hold in victims:
-            saves = hold.spec.checkpoint_s > 0
-            self._withdraw(machine, hold, hold.spec.save_s if saves else 0.0)
+            self._stop(machine, hold)
         if victims:
             self._term.out.note("debug", f"{len(victims)} tasks stopped for more urgent work")
 
@@ -127,6 +126,7 @@
             self._term.deployment.knobs.drop_threshold,
             self._urgent_reserve(),
             self._fleet.firm.one_job(),
+            self._fleet.spare_cpus(),
         )
 
     def _plannable(self) -> Iterator[Job]:
