--- a/tests/test_interruptions.py
+++ b/tests/test_interruptions.py
@@ -92,4 +92,4 @@
         one.born = one.idle_since = Seconds(1.0)
     made.demand = Demand()
     made.demand.sample(0.0, Seconds(NOW + 310.0))
-    assert len(made.returnable(own, Seconds(NOW + 310.0))) == 1
+    assert len(made.returnable(own, TEAMS, Seconds(NOW + 310.0))) == 1
