Bounds that stood below 4,000 machines: the leader's ticks and rounds, parts' frames, records of large gangs

Each machine is now watched at every tick up to a thousand machines and less often beyond, rounds follow less closely beyond 1,500, a part shows a sample of 1,000 machines with room, counts go out 5,000 jobs at a time, a message that no receiver takes is not sent. All of a gang is kicked once a record, not once a task, and whether it is whole is worked out once for all orders of a step. Tests count at 4,000 and 6,000.

--- a/src/crosscleat/adapters/peer_link.py
+++ b/src/crosscleat/adapters/peer_link.py
@@ -95,11 +95,16 @@
         return self._writer is not None
 
     def send(self, message: wire.Message) -> bool:
-        """Queue a message; False: the link is down or its queue is full."""
+        """Queue a message; False: the link is down, its queue is full or the message too long."""
         writer = self._writer
         if writer is None or writer.transport.get_write_buffer_size() > MOST_BUFFERED:
             return False
-        writer.write(wire.frame(message))
+        try:
+            writer.write(wire.frame(message))
+        except wire.FrameTooLongError as error:
+            # The receiver would close the link, and with it all relays.
+            log.error("not sent to %s: %s", self.peer, error)
+            return False
         return True
 
     async def relay(self, body: bytes) -> Answered | None:
--- a/src/crosscleat/core/commands.py
+++ b/src/crosscleat/core/commands.py
@@ -41,6 +41,8 @@
         self._missed = missed
         self._kicked: set[MachineId] = set()
         """Machines that have orders waiting which are worth a direct message."""
+        self._whole: dict[JobRef, bool] = {}
+        """Whether the gangs met so far may start, while orders are made out."""
         self._to_greet: deque[Machine] = deque()
         self.rotation_wanted = False
         """Only a higher token rules out that a lost direct message is executed after all."""
@@ -58,6 +60,10 @@
 
     def orders(self, machine: Machine, now: Seconds, answering: int | None) -> list[Order]:
         """What the worker is to do; `answering` is the tally of the check-in answered."""
+        self._whole.clear()
+        return self._orders(machine, now, answering)
+
+    def _orders(self, machine: Machine, now: Seconds, answering: int | None) -> list[Order]:
         orders: list[Order] = []
         may_start = self._term.may_start(now)
         for hold in machine.holds.values():
@@ -86,8 +92,11 @@
         if hold.spec.shape is not Shape.GANG:
             return True
         # No task of a gang is started before the store has the places of all.
-        job = self._jobs.get(hold.task.job)
-        return job is not None and job.whole
+        whole = self._whole.get(hold.task.job)
+        if whole is None:
+            job = self._jobs.get(hold.task.job)
+            whole = self._whole[hold.task.job] = job is not None and job.whole
+        return whole
 
     def _clearable(self, machine: Machine, key: AttemptKey) -> bool:
         """Once cleared, the attempt is unknown to the worker and a late start would start it again.
@@ -120,6 +129,7 @@
     def send_direct(self, now: Seconds) -> None:
         """Send the machines that were kicked what they are to do."""
         kicked, self._kicked = self._kicked, set()
+        self._whole.clear()
         if self._term.election.token is None:
             return
         for machine_id in kicked:
@@ -131,7 +141,7 @@
                 continue
             if now < machine.direct_after:
                 continue
-            orders = [o for o in self.orders(machine, now, None) if not isinstance(o, ClearOrder)]
+            orders = [o for o in self._orders(machine, now, None) if not isinstance(o, ClearOrder)]
             if orders:
                 self._send(machine, machine.seen.session, tuple(orders))
 
--- a/src/crosscleat/core/leader.py
+++ b/src/crosscleat/core/leader.py
@@ -63,6 +63,15 @@
 """A task saves on a notice if that takes no more than this part of it."""
 
 
+MOST_COUNTS = 5_000
+"""Jobs whose counts one message shows; others follow with the next."""
+WATCHED_PER_S = 10_000
+"""Looks at machines' silence, leases and idleness in a second: up to a thousand machines at every
+tick, more of them less often."""
+TICK_SLACK_S = 0.05
+"""Ticks are a tenth of a second apart, give or take."""
+
+
 class Leader:
     """The leader of one term."""
 
@@ -163,6 +172,7 @@
             self._release,
         )
         self._full_round_at = now
+        self._watch_at = now
         self._unknown_words: set[str] = set()
         """States and causes in reports that were logged as unknown."""
         self._progress_sent: dict[JobRef, tuple[int, int]] = {}
@@ -525,19 +535,21 @@
 
     # What the writer tells
 
-    def _on_record(self, job: Job, number: int) -> None:
-        """The task's place is on record: its start may be sent."""
-        placed = job.chunk_of(number).placed[number]
-        found = self.ledger.find(job.ref, number, placed.attempt, placed.machine)
-        if found is None:
-            return
-        machine, hold = found
-        hold.recorded = True
-        if not hold.withdrawn:
-            self.commands.kick(machine.id)
-        if job.gang:
-            for other, _ in holds_of(self.ledger, job):
-                self.commands.kick(other.id)
+    def _on_record(self, job: Job, numbers: list[int]) -> None:
+        """The places of these tasks are on record: their starts may be sent."""
+        for number in numbers:
+            placed = job.chunk_of(number).placed[number]
+            found = self.ledger.find(job.ref, number, placed.attempt, placed.machine)
+            if found is None:
+                continue
+            machine, hold = found
+            hold.recorded = True
+            if not hold.withdrawn:
+                self.commands.kick(machine.id)
+        if job.gang and numbers and job.whole:
+            # Those recorded before waited for the last.
+            for machine, _ in holds_of(self.ledger, job):
+                self.commands.kick(machine.id)
 
     def _void_unrecorded(self, job: Job) -> None:
         """The user cancelled the job: what was not on record was never sent, and is void."""
@@ -563,7 +575,11 @@
                 job.wake(now)
         if self.gangs.any_incomplete:
             self.scheduling.wanted = True
-        self.watch_machines(now)
+        self.liveness.tick()
+        machines = len(self.ledger.machines)
+        if now >= self._watch_at:
+            self._watch_at = Seconds(now + machines / WATCHED_PER_S - TICK_SLACK_S)
+            self.watch_machines(now)
         if self.term.retired:
             return
         self.commands.greet_some()
@@ -608,6 +624,8 @@
         )
         changed: dict[str, tuple[int, int]] = {}
         for job in self.jobs.values():
+            if len(changed) >= MOST_COUNTS:
+                break
             now = (job.done_count, running[job.ref])
             if self._progress_sent.get(job.ref) != now:
                 self._progress_sent[job.ref] = changed[job.ref] = now
--- a/src/crosscleat/core/liveness.py
+++ b/src/crosscleat/core/liveness.py
@@ -141,6 +141,11 @@
             machine.zone not in self._quiet_zones or silence > 2.0 * self._deployment.cancel_s
         )
 
+    def tick(self) -> None:
+        """A tenth of a second has passed in which reports were listened for."""
+        self._silent_ticks += 1
+        self._lonely_ticks += 1
+
     def watch(self, machines: list[Machine], now: Seconds) -> None:
         """Count who is silent or deaf, ask after them, and resign if it is our own fault."""
         # Those given up for their silence still count: else each that is given up would make
@@ -168,8 +173,6 @@
             self._election.resign("no worker hears us", rest_s=REST_S)
             return
         # Ticks are counted too: a process that stood still has not listened.
-        self._silent_ticks += 1
-        self._lonely_ticks += 1
         unheard_s = self._unheard_s(len(heard))
         unheard = self._silent_ticks >= UNHEARD_TICKS and least > unheard_s
         lonely = (
--- a/src/crosscleat/core/partitioning.py
+++ b/src/crosscleat/core/partitioning.py
@@ -23,6 +23,11 @@
 from .scoring import RunTimes, Scorer
 
 MOST_JOBS = 60
+"""Jobs that one view shows; the leader plans the others."""
+MOST_ROOMS = 1_000
+"""Machines that one view shows: of more, a sample, so that the message keeps to its bound."""
+MOST_FAILED_SHOWN = 50
+"""Machines on which a job failed that a view names; the leader's own check knows all."""
 
 
 class JobView(msgspec.Struct, array_like=True, frozen=True):
@@ -121,8 +126,12 @@
     reserve: float,
     factors: dict[str, float],
     now: Seconds,
+    rng: Random,
 ) -> View:
     """An owner's part as it is sent."""
+    rooms = [machine for machine in machines if machine.used_cpus < machine.type.cpus]
+    if len(rooms) > MOST_ROOMS:
+        rooms = rng.sample(rooms, MOST_ROOMS)
     found = sorted(jobs, key=lambda job: (-job.spec.priority, job.submitted))[:MOST_JOBS]
     return View(
         number,
@@ -131,7 +140,7 @@
                 job.spec,
                 now - job.submitted,
                 job.waiting_count(),
-                tuple(sorted(job.failed_on)),
+                tuple(sorted(job.failed_on)[:MOST_FAILED_SHOWN]),
                 ledger.job_zones.get(job.ref, {}),
                 job.at_risk,
             )
@@ -149,8 +158,7 @@
                 {Image(i): max(0.0, ready - now) for i, ready in m.images.items()},
                 _reservation_view(reservations.get(m.id), now),
             )
-            for m in machines
-            if m.used_cpus < m.type.cpus
+            for m in rooms
         ),
         shares,
         reserve,
--- a/src/crosscleat/core/scheduling.py
+++ b/src/crosscleat/core/scheduling.py
@@ -22,6 +22,9 @@
 from .work_sharing import WorkSharing
 from .writer import Writer
 
+PROMPT_MACHINES = 1_500
+"""With more machines rounds follow each other less closely, as each looks at all of them."""
+
 
 class Scheduling:
     """Plans rounds, gives parts of them to other controllers and commits what is chosen."""
@@ -56,7 +59,7 @@
         self._stop = stop
         self._gone = gone
         self._rng = rng
-        self._sharing = WorkSharing(term, ledger)
+        self._sharing = WorkSharing(term, ledger, rng)
         self._round_at = term.now
         self._preempt_at = term.now
         self._preempt_later = False
@@ -68,7 +71,9 @@
         """Plan a round if something has changed, and not too soon after the one before."""
         preempts = self._preempt_later and now >= self._preempt_at
         if (self.wanted or preempts) and now >= self._round_at:
-            self._round_at = Seconds(now + self._term.deployment.knobs.prompt_round_s)
+            stretched = max(1.0, len(self._ledger.machines) / PROMPT_MACHINES)
+            prompt_s = self._term.deployment.knobs.prompt_round_s
+            self._round_at = Seconds(now + stretched * prompt_s)
             self.wanted = False
             self._round(now)
 
--- a/src/crosscleat/core/work_sharing.py
+++ b/src/crosscleat/core/work_sharing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from random import Random
 
 from .capacity import Choice, Reservation
 from .effects import Part
@@ -19,7 +20,8 @@
 class WorkSharing:
     """Which parts are being planned elsewhere, and until when they are waited for."""
 
-    def __init__(self, term: LeadingTerm, ledger: Ledger) -> None:
+    def __init__(self, term: LeadingTerm, ledger: Ledger, rng: Random) -> None:
+        self._rng = rng
         self._term = term
         self._members = term.deployment.members
         self._ledger = ledger
@@ -63,6 +65,7 @@
                 urgent_reserve,
                 factors,
                 now,
+                self._rng,
             )
             self._term.out.add(Part(member, view))
             wait_s = PROPOSAL_S if member in self._punctual else 0.0
--- a/src/crosscleat/core/writer.py
+++ b/src/crosscleat/core/writer.py
@@ -42,13 +42,14 @@
         ledger: Ledger,
         work: WorkRecords,
         drops: DropRecords,
-        recorded: Callable[[Job, int], None],
+        recorded: Callable[[Job, list[int]], None],
         void: Callable[[Job], None],
         reread: Callable[[Item], None],
         ended: Callable[[Job], None],
     ) -> None:
-        """`recorded`: a task's place is on record; `void`: places of a job that are not on record
-        never will be; `reread`: a live record as it is now; `ended`: the job's end is on record."""
+        """`recorded`: the places of these tasks are on record; `void`: places of a job that are
+        not on record never will be; `reread`: a live record as it is now; `ended`: the job's end
+        is on record."""
         self._term = term
         self._jobs = jobs
         self._ledger = ledger
@@ -183,9 +184,7 @@
         for job, chunk, recorded in batch.chunks:
             fresh = recorded - chunk.recorded
             chunk.recorded = recorded
-            for number, attempt, machine_id in fresh:
-                if job.is_current(number, attempt, machine_id):
-                    self._recorded(job, number)
+            self._recorded(job, [found.number for found in fresh if job.is_current(*found)])
         self._work.written((job, chunk) for job, chunk, _ in batch.chunks)
         for job in batch.ended:
             del self._ending[job.ref]
--- a/src/crosscleat/wire/peers.py
+++ b/src/crosscleat/wire/peers.py
@@ -77,9 +77,15 @@
 _encoder = msgspec.msgpack.Encoder()
 
 
+class FrameTooLongError(ValueError):
+    """No receiver takes a message of this length."""
+
+
 def frame(message: Message) -> bytes:
     """The message with its length in front, as it is sent."""
     body = _encoder.encode(message)
+    if len(body) > MOST_FRAME:
+        raise FrameTooLongError(f"a message of {len(body)} bytes: {type(message).__name__}")
     return len(body).to_bytes(4, "big") + body
 
 
--- a/tests/test_partitioning.py
+++ b/tests/test_partitioning.py
@@ -60,7 +60,7 @@
     shares = shares_of(parts, TEAMS, ledger)
     taken = {"red": red, "blue": 0.0}
     for member, mine in parts.items():
-        view = view_of(4, mine, machines, ledger, {}, shares[member], 0.0, {}, NOW)
+        view = view_of(4, mine, machines, ledger, {}, shares[member], 0.0, {}, NOW, Random(1))
         told = msgspec.msgpack.decode(msgspec.msgpack.encode(view), type=View)
         proposal = plan(
             told, deployment(member), {t.name: t for t in TYPES}, Random(1), Seconds(7.0)
@@ -129,6 +129,6 @@
     shares = {Team("red"): (10.0, 0.0)}
     large = Reservation(JobRef("job-large"), Priority.NORMAL, Seconds(NOW - 20.0))
     for kept, count in (({}, 1), ({machine.id: large}, 0)):
-        view = view_of(1, [small], [machine], Ledger(), kept, shares, 0.0, {}, NOW)
+        view = view_of(1, [small], [machine], Ledger(), kept, shares, 0.0, {}, NOW, Random(1))
         types = {t.name: t for t in TYPES}
         assert len(plan(view, deployment("c1"), types, Random(1), NOW).choices) == count
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -1,4 +1,4 @@
-"""With a thousand machines: how often each is looked at, whom we address, whose the sockets are."""
+"""With thousands of machines: how often each is looked at, whom we address, whose sockets."""
 
 from __future__ import annotations
 
@@ -10,15 +10,21 @@
 from hypothesis import strategies as st
 
 from crosscleat.app import Sockets
+from crosscleat.core.effects import Direct, Part
 from crosscleat.core.feasibility import Feasibility
 from crosscleat.core.fleet import Fleet, Space
-from crosscleat.core.ids import MachineId, Seconds, Team, Version, Zone
-from crosscleat.core.jobs import Job
-from crosscleat.core.model import Knobs, TeamLimits
-from crosscleat.core.placements import Ledger, Machine
+from crosscleat.core.ids import JobRef, MachineId, Seconds, Team, Version, Zone
+from crosscleat.core.jobs import Chunk, Job
+from crosscleat.core.leader import MOST_COUNTS, WATCHED_PER_S
+from crosscleat.core.machines import Machines
+from crosscleat.core.model import Knobs, Shape, TeamLimits
+from crosscleat.core.placements import Hold, Ledger, Machine
 from crosscleat.core.rounds import Round
+from crosscleat.core.scheduling import PROMPT_MACHINES
 from crosscleat.core.scoring import RunTimes, Scorer
+from crosscleat.wire import peers as peer_wire
 
+from .term import Term
 from .world import TYPES, deployment, job
 
 MACHINES = 1_000
@@ -88,3 +94,95 @@
     assert ours + 3 * peers + 2 + sockets.clients <= most
     assert sockets.clients >= 0.6 * most - 3 * peers
     assert min(sockets) >= 2
+
+
+# Four thousand machines, and half as many again
+
+SIZES = pytest.mark.parametrize("machines", (4_000, 6_000))
+
+
+def large(machines: int) -> Term:
+    """A leader that has heard of so many machines."""
+    term = Term()
+    for number in range(machines):
+        term.hear((1, 1), machine=f"m-{number:06d}")
+    return term
+
+
+@SIZES
+def test_what_is_looked_at_in_a_second_does_not_grow_with_machines(
+    monkeypatch: pytest.MonkeyPatch, machines: int
+) -> None:
+    # A tick of 4,000 machines took a tenth of what it may take at 43% of a core, ten times a
+    # second, and a round twice that, up to seven times a second.
+    term = large(machines)
+    watched = counted(monkeypatch, Machines, "watch")
+    rooms = counted(monkeypatch, Machines, "usable")
+    for _ in range(60):
+        term.step(0.1)
+        for machine in term.leader.ledger.machines.values():
+            machine.last_heard = term.now
+        term.leader.scheduling.wanted = True
+        term.leader.tick(term.now)
+        term.leader.settle(term.now)
+    assert 2 * machines <= watched[0] <= 6 * 1.3 * WATCHED_PER_S
+    assert rooms[0] <= 6 * 1.3 * PROMPT_MACHINES / 0.15
+
+
+@SIZES
+def test_a_part_with_all_machines_keeps_to_the_length_of_a_frame(machines: int) -> None:
+    # A longer frame makes the receiver close the link, every five seconds.
+    term = large(machines)
+    images = {f"image-{number:04d}": Seconds(0.0) for number in range(10)}
+    for machine in term.leader.ledger.machines.values():
+        machine.images = dict(images)
+    failing = {MachineId(f"m-{number:06d}") for number in range(machines)}
+    for number in range(200):
+        ref = JobRef(f"job-{number:06d}")
+        waiting = Job(job(ref, tasks=50), Version(1), term.now)
+        waiting.succeeded = True
+        waiting.failed_on = failing
+        term.leader.jobs[ref] = waiting
+    term.out.take()
+    term.leader.scheduling.give_out_parts(term.now)
+    parts = [effect for effect in term.out.take() if isinstance(effect, Part)]
+    assert len(parts) == 2
+    for part in parts:
+        assert len(peer_wire.frame(peer_wire.Part(part.view))) <= peer_wire.MOST_FRAME
+
+
+def test_counts_of_many_jobs_go_out_in_several_messages() -> None:
+    term = Term()
+    for number in range(MOST_COUNTS + 10):
+        ref = JobRef(f"job-{number:06d}")
+        term.leader.jobs[ref] = Job(job(ref), Version(1), term.now)
+    assert [len(term.leader.progress()) for _ in range(3)] == [MOST_COUNTS, 10, 0]
+
+
+def test_a_message_too_long_for_any_receiver_is_not_framed() -> None:
+    counts = {f"job-{number:06d}": (1, 2) for number in range(200_000)}
+    with pytest.raises(peer_wire.FrameTooLongError):
+        peer_wire.frame(peer_wire.Counts(counts))
+
+
+def test_the_records_of_a_large_gang_are_looked_through_once_and_not_once_a_task(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    term = large(100)
+    spec = job("job-g", tasks=400, cpus=2.0, shape=Shape.GANG, team=Team("blue"))
+    gang = term.leader.jobs[spec.ref] = Job(spec, Version(1), term.now)
+    machines = list(term.leader.ledger.machines.values())
+    for number in range(spec.tasks):
+        machine = machines[number % len(machines)]
+        task, attempt = gang.place(machine.id, machine.seen.session)
+        hold = Hold(task, attempt, spec, machine.id, machine.zone, machine.seen.session)
+        term.leader.ledger.add(machine, hold)
+    for chunk in gang.chunks.values():
+        chunk.recorded = chunk.entered()
+    found = counted(monkeypatch, Ledger, "find")
+    unrecorded = counted(monkeypatch, Chunk, "unrecorded")
+    term.leader._on_record(gang, list(range(spec.tasks)))
+    term.leader.commands.send_direct(term.now)
+    assert sum(len(e.orders) for e in term.out.take() if isinstance(e, Direct)) == spec.tasks
+    assert found[0] <= 2 * spec.tasks
+    assert unrecorded[0] <= 3 * len(gang.chunks)
