--- a/src/crosscleat/core/rounds.py
+++ b/src/crosscleat/core/rounds.py
@@ -22,11 +22,13 @@
 from .reservations import reserve_machines, reserve_ordinary
 from .scoring import Scorer
 
+MOST_JOBS = 200
+"""Jobs that one round looks at: of more, the better half by utility and a sample of the others."""
 MOST_PAIRS = 12_000
 """Pairs of a job and a machine that one round looks at; beyond it machines are sampled, as the
 users want under overload."""
 LEAST_SAMPLE = 24
-"""Machines that each job looks at, however many jobs there are."""
+"""Machines that each job looks at, however many jobs there are: also one of a sample of jobs."""
 MOST_CHOICES = 48
 """Choices of one round; the next one goes on."""
 BEGIN_S = 100.0
@@ -87,13 +89,13 @@
         self._open_rooms(waiting)
         if not self._open:
             return []
-        self._sample = max(LEAST_SAMPLE, MOST_PAIRS // len(waiting))
-        self._scorer.max_cost = self._max_cost(waiting)
         if reservations is None:
             self._reserve(waiting)
         else:
             for room in self._feasible.rooms:
                 room.reservation = reservations.get(room.machine.id)
+        waiting = self._sample_jobs(waiting)
+        self._scorer.max_cost = self._max_cost(waiting)
         set_aside = []
         for job in waiting:
             if self._is_set_aside(job):
@@ -140,6 +142,22 @@
             self._feasible.rooms, waiting, self._scorer, self._now, self._feasible.team_admits
         )
 
+    def _sample_jobs(self, waiting: list[Job]) -> list[Job]:
+        """Not each of a thousand jobs is looked at in each round: it places few of them.
+
+        The sample lets those through that no better one leaves behind, though it finds no room.
+        """
+        self._sample = max(LEAST_SAMPLE, MOST_PAIRS // len(waiting))
+        if len(waiting) <= MOST_JOBS:
+            return waiting
+        self._sample = LEAST_SAMPLE
+        waiting = [job for job in waiting if self._feasible.team_admits(job)]
+        if len(waiting) <= MOST_JOBS:
+            return waiting
+        waiting.sort(key=lambda job: (self._must_begin(job), self._best_utility(job)), reverse=True)
+        half = MOST_JOBS // 2
+        return waiting[:half] + self._rng.sample(waiting[half:], MOST_JOBS - half)
+
     def _open_rooms(self, waiting: list[Job]) -> None:
         """Most machines are full, and stay out of the round: neither ranked nor sampled."""
         least = min(job.spec.cpus for job in waiting) - 1e-9
--- a/src/crosscleat/core/scheduling.py
+++ b/src/crosscleat/core/scheduling.py
@@ -24,6 +24,8 @@
 
 PROMPT_MACHINES = 1_500
 """With more machines rounds follow each other less closely, as each looks at all of them."""
+PROMPT_JOBS = 400
+"""The same with more jobs."""
 
 
 class Scheduling:
@@ -71,12 +73,16 @@
         """Plan a round if something has changed, and not too soon after the one before."""
         preempts = self._preempt_later and now >= self._preempt_at
         if (self.wanted or preempts) and now >= self._round_at:
-            stretched = max(1.0, len(self._ledger.machines) / PROMPT_MACHINES)
-            prompt_s = self._term.deployment.knobs.prompt_round_s
-            self._round_at = Seconds(now + stretched * prompt_s)
+            self._round_at = Seconds(now + self._prompt_s())
             self.wanted = False
             self._round(now)
 
+    def _prompt_s(self) -> float:
+        """The least time between two rounds: it bounds their part of the processor."""
+        machines = len(self._ledger.machines) / PROMPT_MACHINES
+        stretched = max(1.0, machines, len(self._jobs) / PROMPT_JOBS)
+        return stretched * self._term.deployment.knobs.prompt_round_s
+
     def _may_place(self, now: Seconds) -> bool:
         return self._term.may_start(now) and bool(self._fleet.types)
 
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -17,9 +17,9 @@
 from crosscleat.core.jobs import Chunk, Job
 from crosscleat.core.leader import MOST_COUNTS, WATCHED_PER_S
 from crosscleat.core.machines import Machines
-from crosscleat.core.model import Knobs, Shape, TeamLimits
+from crosscleat.core.model import Knobs, Priority, Shape, TeamLimits
 from crosscleat.core.placements import Hold, Ledger, Machine
-from crosscleat.core.rounds import Round
+from crosscleat.core.rounds import LEAST_SAMPLE, MOST_JOBS, Round
 from crosscleat.core.scheduling import PROMPT_MACHINES
 from crosscleat.core.scoring import RunTimes, Scorer
 from crosscleat.wire import peers as peer_wire
@@ -87,6 +87,35 @@
     assert housed[0] <= JOBS * WITH_ROOM
 
 
+def test_a_round_looks_at_a_sample_of_a_thousand_jobs(monkeypatch: pytest.MonkeyPatch) -> None:
+    # hunt-d090-3: a swarm of 800 jobs of one task kept the leader busy for longer than it had.
+    jobs = [
+        Job(job(f"job-{n}", tasks=1, cpus=4.0), Version(1), Seconds(NOW - 50.0))
+        for n in range(1_000)
+    ]
+    machines = [Machine(MachineId(f"m-{n}"), TYPES[1], Zone("a"), True) for n in range(200)]
+    ranked = counted(monkeypatch, Feasibility, "admits")
+    scorer = Scorer(deployment("c0"), RunTimes())
+    planned = Round(Ledger(), scorer, TEAMS, Random(1), NOW, 0.05, 0.0).plan(jobs, machines, 48)
+    assert len(planned) == 48
+    assert ranked[0] <= 1.2 * MOST_JOBS * LEAST_SAMPLE
+
+
+def test_jobs_that_fit_nowhere_leave_the_round_to_others() -> None:
+    large = [
+        Job(job(f"job-l{n}", tasks=1, cpus=8.0, priority=Priority.HIGH), Version(1), NOW)
+        for n in range(300)
+    ]
+    small = [Job(job(f"job-s{n}", tasks=1, cpus=1.0), Version(1), NOW) for n in range(300)]
+    machine = Machine(MachineId("m-0"), TYPES[1], Zone("a"), True)
+    machine.used_cpus = 4.0
+    scorer = Scorer(deployment("c0"), RunTimes())
+    planned = Round(Ledger(), scorer, TEAMS, Random(1), NOW, 0.05, 0.0).plan(
+        large + small, [machine], 48
+    )
+    assert len(planned) == 4
+
+
 @given(st.integers(100, 100_000), st.integers(0, 8))
 def test_the_sockets_suffice_for_all_that_may_be_open_at_once(most: int, peers: int) -> None:
     sockets = Sockets.divide(most, peers)
