--- a/src/crosscleat/core/fleet.py
+++ b/src/crosscleat/core/fleet.py
@@ -15,6 +15,9 @@
 from .preemption import COUNTED_START_S
 
 MOST_PER_RENTAL = 50
+"""Machines of one request, by the protocol."""
+MOST_PRICED = 100
+"""Waiting jobs, the most urgent first, for which one rental looks for the cheapest machines."""
 WINDOW_S = 120.0
 RECENT_S = 45.0
 FLOODED = 0.5
@@ -327,7 +330,7 @@
         wanted: PoolKey | None = None
         machines = 0.0
         overdue = False
-        for job, count in homeless:
+        for job, count in homeless[:MOST_PRICED]:
             age = Seconds(now - job.submitted)
             found = self._pick(job, age, now)
             if found is not None and wanted in (None, found[0]):
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -12,7 +12,7 @@
 from crosscleat.app import Sockets
 from crosscleat.core.effects import Direct, Part
 from crosscleat.core.feasibility import Feasibility
-from crosscleat.core.fleet import Fleet, Space
+from crosscleat.core.fleet import MOST_PER_RENTAL, MOST_PRICED, Fleet, Space
 from crosscleat.core.ids import JobRef, MachineId, Seconds, Team, Version, Zone
 from crosscleat.core.jobs import Chunk, Job
 from crosscleat.core.leader import MOST_COUNTS, WATCHED_PER_S
@@ -101,6 +101,23 @@
     assert ranked[0] <= 1.2 * MOST_JOBS * LEAST_SAMPLE
 
 
+def test_a_rental_looks_for_machines_for_a_part_of_a_thousand_jobs(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # hunt-d090-3: each second 800 jobs were compared with 16 kinds of machines in turn; one leader
+    # after the other lost its lease under that.
+    jobs = [
+        Job(job(f"job-{n}", tasks=1, cpus=4.0), Version(1), Seconds(NOW - 50.0))
+        for n in range(1_000)
+    ]
+    priced = counted(monkeypatch, Fleet, "_pick")
+    fleet = Fleet(Knobs(), lambda _: 60.0, lambda job: job.spec.estimate_s)
+    fleet.types = {kind.name: kind for kind in TYPES}
+    wanted = fleet.wanted(jobs, TEAMS, {}, [], NOW)
+    assert wanted is not None and wanted.count == MOST_PER_RENTAL
+    assert priced[0] <= MOST_PRICED
+
+
 def test_jobs_that_fit_nowhere_leave_the_round_to_others() -> None:
     large = [
         Job(job(f"job-l{n}", tasks=1, cpus=8.0, priority=Priority.HIGH), Version(1), NOW)
