--- a/src/crosscleat/core/reservations.py
+++ b/src/crosscleat/core/reservations.py
@@ -32,9 +32,10 @@
 ) -> None:
     """Reserve a few machines for large tasks and gangs that have waited, the oldest job first."""
     groups = _groups(rooms)
-    for job in sorted(waiting, key=lambda job: job.submitted):
-        if now - job.submitted < RESERVE_AFTER_S:
-            return
+    waited = [job for job in waiting if now - job.submitted >= RESERVE_AFTER_S]
+    smallest = _smallest(groups)
+    found = [job for job in waited if job.gang or _may_be_large(job, smallest)]
+    for job in sorted(found, key=lambda job: job.submitted):
         if not team_admits(job):
             continue
         able = [group for group in groups if _large_on(job, group.machine, scorer)]
@@ -80,6 +81,24 @@
     return list(groups.values())
 
 
+def _smallest(groups: list[MachineGroup]) -> tuple[float, float]:
+    """The least CPUs and the least memory that any of the machines has."""
+    kinds = [group.machine.type for group in groups]
+    cpus = min((kind.cpus for kind in kinds), default=math.inf)
+    return cpus, min((kind.memory_gb for kind in kinds), default=math.inf)
+
+
+def _may_be_large(job: Job, smallest: tuple[float, float]) -> bool:
+    """Whether it is large on a machine as small as that: most jobs are large on none."""
+    spec = job.spec
+    cpus, memory_gb = smallest
+    return (
+        spec.gpus > 0.0
+        or spec.cpus >= LARGE_SHARE * cpus
+        or spec.memory_gb >= LARGE_SHARE * memory_gb
+    )
+
+
 def _large_on(job: Job, machine: Machine, scorer: Scorer) -> bool:
     """Whether it needs a machine that is emptied for it, or, as a gang, several places at once."""
     if not machine.type.holds(job.spec) or not machine.allowed(job.spec):
--- a/src/crosscleat/core/rounds.py
+++ b/src/crosscleat/core/rounds.py
@@ -22,8 +22,9 @@
 from .reservations import reserve_machines, reserve_ordinary
 from .scoring import Scorer
 
-MOST_JOBS = 200
-"""Jobs that one round looks at: of more, the better half by utility and a sample of the others."""
+MOST_JOBS = 120
+"""Jobs that one round looks at if there are more than twice as many: half of them the best by
+utility, half a sample of the others."""
 MOST_PAIRS = 12_000
 """Pairs of a job and a machine that one round looks at; beyond it machines are sampled, as the
 users want under overload."""
@@ -148,7 +149,7 @@
         The sample lets those through that no better one leaves behind, though it finds no room.
         """
         self._sample = max(LEAST_SAMPLE, MOST_PAIRS // len(waiting))
-        if len(waiting) <= MOST_JOBS:
+        if len(waiting) <= 2 * MOST_JOBS:
             return waiting
         self._sample = LEAST_SAMPLE
         waiting = [job for job in waiting if self._feasible.team_admits(job)]
--- a/src/crosscleat/core/scheduling.py
+++ b/src/crosscleat/core/scheduling.py
@@ -24,7 +24,7 @@
 
 PROMPT_MACHINES = 1_500
 """With more machines rounds follow each other less closely, as each looks at all of them."""
-PROMPT_JOBS = 400
+PROMPT_JOBS = 250
 """The same with more jobs."""
 
 
