--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -245,3 +245,39 @@
     backfill.backfill = True
 
     assert len(plan_cycle([backfill], [make_machine("m-0")], backfill_reserve=4.0)) == 2
+
+
+def two_zones() -> Cluster:
+    """Two machines in zone a and one in zone b, full of work of low priority."""
+    cluster = Cluster(2)
+    cluster.machines.append(make_machine("m-b", zone="b"))
+    for number, machine in enumerate(cluster.machines):
+        cluster.run(f"job-{number}", machine)
+    return cluster
+
+
+def test_only_a_zones_share_of_a_spread_array_is_preempted_for_there() -> None:
+    # Four tasks, two of them in a zone at most: all were made room for in the first zone.
+    cluster = two_zones()
+    victims = cluster.preempt(urgent(tasks=4, spread=True))
+
+    assert sorted(victim.machine.zone for victim in victims) == ["a", "a", "b", "b"]
+
+
+def test_capacity_that_is_freed_in_a_full_zone_does_not_count_for_a_spread_array() -> None:
+    cluster = two_zones()
+    waiting = urgent(tasks=2, spread=True)
+    for machine in cluster.machines[:2]:
+        for allocation in machine.allocations.values():
+            allocation.stopping = True
+    cluster.jobs[waiting.ref] = waiting
+
+    assert [victim.machine.zone for victim in cluster.preempt(waiting)] == ["b"]
+
+
+def test_a_one_zone_array_preempts_in_one_zone_only() -> None:
+    # What was stopped in a second zone was stopped for nothing.
+    cluster = two_zones()
+    victims = cluster.preempt(urgent(tasks=6, one_zone=True))
+
+    assert len({victim.machine.zone for victim in victims}) == 1
--- /dev/null
+++ b/tests/test_zone_limits.py
@@ -0,0 +1,255 @@
+"""Scaling out for jobs whose tasks must be in one zone or in several.
+
+Seen on a drawn day: a gang whose tasks must be in different zones waited for good beside a free
+machine (`test_zone_bound_days.py`). Every step from waiting work to a rental has to know in which
+zones the job may still have tasks, or the job waits in another place. Each test is a case of it.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from crosscleat.core.model.cloud import MachineType
+from crosscleat.core.model.cloud_calls import Rent
+from crosscleat.core.model.deployment import TeamLimits
+from crosscleat.core.model.ids import MachineId, Team, TypeName, Zone
+from crosscleat.core.model.job_spec import Shape
+from crosscleat.core.state.machine import NOWHERE, UNKNOWN_TYPE, Machine
+
+from .scale_out import ScaleOut
+
+BLUE = Team("blue")
+LARGE_TASK = 8.0
+"""CPUs of a task that needs a whole large machine."""
+
+
+def tasks_held(requests: list[Rent], cpus: float) -> dict[str, int]:
+    """How many tasks of that size the requested machines hold, by zone."""
+    sizes = {"small": 4.0, "large": 8.0}
+    held: dict[str, int] = {}
+    for request in requests:
+        tasks = request.count * int(sizes[request.type] / cpus)
+        held[request.zone] = held.get(request.zone, 0) + tasks
+    return held
+
+
+def spread(gang: bool = True, **changes: Any) -> dict[str, Any]:
+    shape = Shape.GANG if gang else Shape.ARRAY
+    return {"team": BLUE, "spread": True, "shape": shape, **changes}
+
+
+@pytest.mark.parametrize(("tasks", "lacking"), [(2, 1), (4, 2), (9, 4)])
+@pytest.mark.parametrize("gang", [True, False])
+def test_only_a_zones_share_of_a_spread_job_is_counted_into_its_free_capacity(
+    tasks: int, lacking: int, gang: bool
+) -> None:
+    scale_out = ScaleOut()
+    for number in range(3):
+        scale_out.add_machine(f"m-{number}")
+    scale_out.add_job("job-1", **spread(gang, tasks=tasks, cpus=2.0))
+
+    held = tasks_held(scale_out.adjust(), 2.0)
+
+    assert list(held) == ["b"]
+    assert lacking <= held["b"] <= lacking + 3, "no more than the last machine leaves free"
+
+
+def test_running_tasks_of_a_spread_array_take_their_zones_share() -> None:
+    scale_out = ScaleOut()
+    machine = scale_out.add_machine("m-0")
+    array = scale_out.add_job("job-1", **spread(gang=False, tasks=2))
+    scale_out.place(array, machine)
+
+    assert [request.zone for request in scale_out.adjust()] == ["b"]
+
+
+def test_a_spread_gang_that_lost_a_member_lacks_it_in_the_members_zone() -> None:
+    scale_out = ScaleOut()
+    machines = [scale_out.add_machine("m-0"), scale_out.add_machine("m-1")]
+    other = scale_out.add_machine("m-2", zone="b", type_index=0)
+    gang = scale_out.add_job("job-1", **spread(tasks=4, cpus=4.0))
+    for machine in (*machines, other):
+        scale_out.place(gang, machine)
+
+    assert [request.zone for request in scale_out.adjust()] == ["b"]
+
+
+def test_a_task_on_a_machine_not_described_yet_counts_in_every_zone() -> None:
+    scale_out = ScaleOut()
+    unknown = Machine(MachineId("m-unknown"), UNKNOWN_TYPE, NOWHERE, False)
+    scale_out.leader.cluster.machines[unknown.id] = unknown
+    array = scale_out.add_job("job-1", **spread(gang=False, tasks=3, cpus=LARGE_TASK))
+    scale_out.place(array, unknown)
+    scale_out.add_machine("m-0")
+
+    assert tasks_held(scale_out.adjust(), LARGE_TASK) == {"b": 1}
+
+
+def test_two_spread_gangs_do_not_both_count_on_the_same_place() -> None:
+    scale_out = ScaleOut()
+    for number in range(2):
+        scale_out.add_machine(f"m-a{number}")
+    scale_out.add_machine("m-b", zone="b")
+    for number in range(2):
+        scale_out.add_job(f"job-{number}", **spread(tasks=2, cpus=LARGE_TASK), waited_s=30 + number)
+    scale_out.leader.term.deployment.teams[BLUE] = TeamLimits(BLUE, 64.0, 64.0, 0.0, 0.0)
+
+    assert tasks_held(scale_out.adjust(), LARGE_TASK) == {"b": 1}
+
+
+def test_tasks_that_failed_on_machines_are_counted_into_the_only_other_one() -> None:
+    scale_out = ScaleOut()
+    scale_out.add_machine("m-0", zone="b")
+    scale_out.add_machine("m-1")
+    array = scale_out.add_job("job-1", **spread(gang=False, tasks=2))
+    array.failed_on.add(MachineId("m-0"))
+
+    assert [request.zone for request in scale_out.adjust()] == ["b"]
+
+
+@pytest.mark.parametrize("shape", [Shape.ARRAY, Shape.GANG])
+def test_what_a_one_zone_job_lacks_is_rented_where_its_tasks_are(shape: Shape) -> None:
+    scale_out = ScaleOut()
+    machine = scale_out.add_machine("m-0", zone="b", type_index=0)
+    scale_out.add_machine("m-1")
+    bound = scale_out.add_job(
+        "job-1", team=BLUE, tasks=2, cpus=4.0, one_zone=True, shape=shape, waited_s=200.0
+    )
+    scale_out.place(bound, machine)
+
+    assert [request.zone for request in scale_out.adjust()] == ["b"]
+
+
+def test_nothing_is_rented_elsewhere_for_a_one_zone_job_whose_zone_has_no_machines() -> None:
+    scale_out = ScaleOut()
+    machine = scale_out.add_machine("m-0", zone="b", type_index=0)
+    bound = scale_out.add_job("job-1", team=BLUE, tasks=2, cpus=4.0, one_zone=True)
+    scale_out.place(bound, machine)
+
+    requests = scale_out.serve(30, refused=("b",))
+
+    assert {request.zone for request in requests} == {"b"}
+
+
+def test_a_one_zone_array_is_counted_into_one_zone_only() -> None:
+    scale_out = ScaleOut()
+    scale_out.add_machine("m-0", zone="b", type_index=0)
+    scale_out.add_machine("m-1", zone="a", type_index=0)
+    scale_out.add_job("job-1", team=BLUE, tasks=2, cpus=4.0, one_zone=True)
+
+    assert sum(tasks_held(scale_out.adjust(), 4.0).values()) >= 1
+
+
+@pytest.mark.parametrize(
+    "constraint",
+    [
+        {"zone": Zone("b")},
+        {"types": (TypeName("large"),)},
+        {"spot": False},
+    ],
+)
+def test_a_machine_that_the_job_may_not_use_is_not_counted(constraint: dict[str, Any]) -> None:
+    scale_out = ScaleOut()
+    scale_out.add_machine("m-0", type_index=0)
+    scale_out.add_job("job-1", team=BLUE, tasks=1, **constraint)
+
+    (request,) = scale_out.adjust()
+
+    assert constraint.get("zone") in (None, request.zone)
+    assert constraint.get("types") in (None, (request.type,))
+    assert constraint.get("spot", True) or not request.spot
+
+
+# What the cycle may not use
+
+
+def test_nothing_is_rented_for_tasks_beyond_the_teams_gpus() -> None:
+    scale_out = ScaleOut()
+    with_gpus = MachineType(
+        TypeName("gpu"), 8.0, 1.0, 32.0, 20.0, 1.0, 1.0, 0.4, 4.0, (Zone("a"), Zone("b"))
+    )
+    scale_out.leader.fleet.types[with_gpus.name] = with_gpus
+    scale_out.leader.term.deployment.teams[BLUE] = TeamLimits(BLUE, 64.0, 64.0, 1.0, 1.0)
+    machine = scale_out.add_machine("m-0")
+    machine.type = with_gpus
+    array = scale_out.add_job("job-1", team=BLUE, tasks=3, cpus=1.0, gpus=1.0)
+    scale_out.place(array, machine)
+
+    assert [request.type for request in scale_out.adjust()] == []
+
+
+def test_nothing_is_rented_for_a_team_that_the_settings_do_not_name() -> None:
+    # A cycle places nothing of it; the settings may have changed since its jobs were accepted.
+    scale_out = ScaleOut()
+    scale_out.add_job("job-1", team=Team("gone"), tasks=3)
+
+    assert scale_out.adjust() == []
+
+
+# Nothing overdone
+
+MINUTES = 10
+
+
+def test_a_spread_gang_without_a_second_zone_does_not_rent_without_end() -> None:
+    scale_out = ScaleOut()
+    for number in range(4):
+        scale_out.add_machine(f"m-idle{number}", type_index=0)
+    scale_out.add_job("job-1", **spread(tasks=2, cpus=LARGE_TASK))
+    scale_out.serve(60, refused=("b",))
+    early = len(scale_out.rented)
+
+    scale_out.serve(60 * MINUTES, refused=("b",))
+
+    assert early <= 3
+    assert len(scale_out.rented) == early
+
+
+def test_a_spread_gang_without_a_second_zone_leaves_rentals_to_other_work() -> None:
+    scale_out = ScaleOut()
+    scale_out.add_job("job-1", **spread(tasks=2, cpus=LARGE_TASK))
+    scale_out.serve(120, refused=("b",))
+    scale_out.add_job("job-2", tasks=1, cpus=LARGE_TASK, waited_s=0.0)
+    for machine in scale_out.rented:
+        scale_out.place(scale_out.add_job(f"job-on-{machine.id}", tasks=1, cpus=8.0), machine)
+
+    requests = scale_out.serve(30, refused=("b",))
+
+    assert "a" in [request.zone for request in requests]
+
+
+def test_a_spread_gang_in_a_region_of_one_zone_rents_nothing() -> None:
+    scale_out = ScaleOut()
+    types = scale_out.leader.fleet.types
+    for name, found in list(types.items()):
+        types[name] = MachineType(
+            found.name, found.cpus, found.gpus, found.memory_gb, found.cache_gb,
+            found.fetch_gb_per_s, found.price, found.spot_price, found.boot_s, (Zone("a"),),
+        )  # fmt: skip
+    scale_out.add_job("job-1", **spread(tasks=2, cpus=LARGE_TASK))
+
+    requests = scale_out.adjust()
+
+    assert tasks_held(requests, LARGE_TASK).get("a", 0) == 0
+
+
+def test_a_machine_that_a_gang_waits_with_is_not_returned_as_idle() -> None:
+    scale_out = ScaleOut()
+    for number in range(6):
+        scale_out.add_machine(f"m-small{number}", type_index=0)
+    scale_out.add_job("job-1", **spread(tasks=2, cpus=LARGE_TASK, spot=False))
+    (first,) = scale_out.adjust()
+    (held,) = scale_out.grant(first)
+    (second,) = scale_out.adjust()
+    (boots,) = scale_out.grant(second, boots=False)
+
+    held.created_at = boots.created_at = scale_out.now
+    held.type = boots.type
+    for _ in range(65):
+        scale_out.adjust(1.0)
+        boots.created_at = scale_out.now
+
+    assert {first.zone, second.zone} == {"a", "b"}
+    assert not held.decommissioning
