Scaling out, preemption and reservations know in which zones a job may have tasks

Cause: scaling out counted all its tasks into the free capacity of one zone, so that nothing was left to rent for. The steps that follow had the same fault: the cheapest pool could lie in a zone that has its share; an idle machine that the gang counted on was returned; preemption and reservations counted tasks over all zones. One-zone arrays, GPUs beyond the team's quota and teams without limits were counted where no cycle may place them.

Change: scheduling/zone_limits.py answers how many more of a job's tasks may be in a zone; cycles, scale-out, preemption and reservations ask it, each with what it plans counted in. A rental is for zones that have a share left, and of no more tasks than the share. A spread gang has machines rented only if all its zones may have some, first in the zone whose pools have refused; idle machines that it counts on are kept until then. Every 30 s the log says why jobs that have waited for 30 s have nothing rented, by typed reason.

With the hold on idle machines, the check of the other zones or the order of the pools taken out, the tests of each fail.

--- a/src/crosscleat/core/capacity/capacity_targets.py
+++ b/src/crosscleat/core/capacity/capacity_targets.py
@@ -6,18 +6,22 @@
 from dataclasses import dataclass, field
 
 from ..model.deployment import TuningOptions
-from ..model.ids import Seconds
+from ..model.ids import Seconds, Zone
 from ..model.job_spec import Priority
 from ..state.jobs import Job
 from .demand import Demand
 
 
 @dataclass(frozen=True, slots=True)
-class CpuUse:
-    """CPUs in use, and those that special kinds of work use or wait for."""
+class CapacityUse:
+    """What is in use, and the CPUs that special kinds of work use or wait for."""
 
     by_team: Mapping[str, float] = field(default_factory=dict)
-    """In use, by every team's allocations."""
+    """CPUs in use, by every team's allocations."""
+    gpus_by_team: Mapping[str, float] = field(default_factory=dict)
+    """GPUs in use, by every team's allocations."""
+    job_zones: Mapping[str, Mapping[Zone, int]] = field(default_factory=dict)
+    """How many tasks of each job may be in which zone."""
     at_risk: float = 0.0
     """In use or waited for by jobs that the loss of a spot machine may make late."""
     on_demand_only: float = 0.0
@@ -45,7 +49,7 @@
         if not job.spec.spot:
             self.on_demand_only.record_job(job, now)
 
-    def sample(self, requested_cpus: float, use: CpuUse, now: Seconds) -> None:
+    def sample(self, requested_cpus: float, use: CapacityUse, now: Seconds) -> None:
         """Record the present demand; `requested_cpus` are in use or waited for."""
         self.demand.sample(requested_cpus, now)
         self.at_risk.sample(use.at_risk, now)
--- a/src/crosscleat/core/capacity/fleet.py
+++ b/src/crosscleat/core/capacity/fleet.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 from ..model.cloud import MachineType
 from ..model.deployment import TeamLimits, TuningOptions, is_backfill
-from ..model.ids import Seconds, Team, TypeName
+from ..model.ids import MachineId, Seconds, Team, TypeName
 from ..scheduling.preemption import COUNTED_START_S
+from ..scheduling.zone_limits import ZoneLimits
 from ..state.jobs import Job
 from ..state.machine import Machine
-from .capacity_targets import CapacityTargets, CpuUse
+from .capacity_targets import CapacityTargets, CapacityUse
 from .pool_catalog import (
     MAX_WAIT_S,
     CompletionEstimates,
@@ -21,6 +22,7 @@
 )
 from .pools import MAX_PER_RENTAL, PoolKey, ScaleOutRequest
 from .unplaced_work import UnplacedTasks, WaitingWork, find_unplaced_work
+from .waiting_reasons import HOPELESS, WaitingReason, WaitingReport
 
 MAX_PRICED = 100
 """Waiting jobs, the most urgent first, for which one rental looks for the cheapest machines."""
@@ -67,6 +69,8 @@
         self.types = types
         self.catalog = PoolCatalog(types, estimates)
         self.targets = CapacityTargets(tuning)
+        self._held_for_gangs: frozenset[MachineId] = frozenset()
+        """Machines with free capacity that a gang counts on until it has the rest."""
 
     # Scaling out
 
@@ -75,47 +79,68 @@
         jobs: Iterable[Job],
         machines: Iterable[Machine],
         teams: Mapping[Team, TeamLimits],
-        use: CpuUse,
+        use: CapacityUse,
         now: Seconds,
+        report: WaitingReport | None = None,
     ) -> ScaleOutRequest | None:
         """The one rental to request now, if any; also takes a sample of the demand.
 
-        Waiting work comes first, then the warm capacity, then the on-demand reserve.
+        Waiting work comes first, then the warm capacity, then the on-demand reserve. `report` is
+        told for which tasks nothing is rented, and why.
         """
+        report = report or WaitingReport(now, wanted=False)
         usable = [machine for machine in machines if _counts_as_capacity(machine, now)]
-        used_cpus = sum(use.by_team.values()) - use.backfill
-        work = find_unplaced_work(jobs, usable, teams, use.by_team, used_cpus)
+        work = find_unplaced_work(jobs, usable, teams, use, report)
         self.targets.sample(work.requested_cpus, use, now)
         capacity = sum(machine.type.cpus for machine in usable)
+        impatient = self._impatient(work, usable, capacity, now, report)
+        for_unplaced = self._for_unplaced(work, impatient, now, report)
+        self._held_for_gangs = work.machines_of_gangs()
         return (
-            self._for_unplaced(self._impatient(work, usable, capacity, now), now)
+            for_unplaced
             or self._for_warm_capacity(capacity, now)
             or self._for_on_demand_reserve(on_demand_cpus(usable), now)
         )
 
     def _impatient(
-        self, work: WaitingWork, usable: list[Machine], capacity: float, now: Seconds
+        self,
+        work: WaitingWork,
+        usable: list[Machine],
+        capacity: float,
+        now: Seconds,
+        report: WaitingReport,
     ) -> list[UnplacedTasks]:
         """The unplaced tasks that machines are rented for: those that can't wait for others' end.
 
         With far more work than capacity, as at the start of a day, that is all of them.
         """
         overload = work.lacking_cpus() > OVERLOAD_SHARE * capacity
-        return [
-            unplaced
-            for unplaced in work.unplaced
-            if overload or self._is_impatient(unplaced.job, usable, now)
-        ]
+        if overload:
+            return work.unplaced
+        kinds = {(one.type.name, one.zone, one.spot): one for one in usable}
+        found = []
+        for unplaced in work.unplaced:
+            if self._is_impatient(unplaced.job, kinds.values(), work.zones, now):
+                found.append(unplaced)
+            else:
+                report.add(unplaced.job, unplaced.tasks, WaitingReason.PATIENT)
+        return found
 
-    def _is_impatient(self, job: Job, usable: list[Machine], now: Seconds) -> bool:
+    def _is_impatient(
+        self, job: Job, kinds: Collection[Machine], zones: ZoneLimits, now: Seconds
+    ) -> bool:
         """Whether it has waited for too long, or none of the machines can ever hold its tasks.
 
         A gang needs capacity for all its tasks at one time, which seldom becomes free by itself.
+        `kinds` are one machine of each type, zone and market.
         """
         spec = job.spec
         if job.is_gang:
             return True
-        if not any(one.type.has_capacity_for(spec) and one.allows(spec) for one in usable):
+        if not any(
+            one.type.has_capacity_for(spec) and one.allows(spec) and zones.admits(spec, one.zone)
+            for one in kinds
+        ):
             return True
         boot_s = min(
             (found.boot_s for found in self.types.values() if found.has_capacity_for(spec)),
@@ -125,18 +150,30 @@
         patience_s = min(PATIENCE_BOOT_SHARE * boot_s, PATIENCE_SLACK_SHARE * slack_s)
         return now - job.submitted > patience_s
 
-    def _for_unplaced(self, unplaced: list[UnplacedTasks], now: Seconds) -> ScaleOutRequest | None:
+    def _for_unplaced(
+        self, work: WaitingWork, impatient: list[UnplacedTasks], now: Seconds, report: WaitingReport
+    ) -> ScaleOutRequest | None:
         """Machines of the most urgent job's cheapest pool, for all whose cheapest it is."""
         pool: PoolKey | None = None
         machines = 0.0
         overdue = False
-        for job, tasks in unplaced[:MAX_PRICED]:
-            age_s = now - job.submitted
-            offer = self.catalog.cheapest_for_job(job, age_s, now)
-            if offer is not None and pool in (None, offer.pool):
+        for unplaced in impatient[:MAX_PRICED]:
+            job, tasks = unplaced
+            offer = self.catalog.cheapest_for_job(unplaced, work.zones, now)
+            if isinstance(offer, WaitingReason):
+                report.add(job, tasks, offer)
+                if offer in HOPELESS:
+                    work.gang_machines.pop(job.ref, None)
+            elif pool in (None, offer.pool):
                 pool = offer.pool
-                machines += tasks / offer.tasks_per_machine
-                overdue = overdue or (age_s > MAX_WAIT_S and not only_cheap_capacity(job))
+                machines += min(tasks, offer.max_tasks) / offer.tasks_per_machine
+                overdue = overdue or (
+                    now - job.submitted > MAX_WAIT_S and not only_cheap_capacity(job)
+                )
+            else:
+                report.add(job, tasks, WaitingReason.NOT_FIRST)
+        for unplaced in impatient[MAX_PRICED:]:
+            report.add(unplaced.job, unplaced.tasks, WaitingReason.NOT_FIRST)
         if pool is None:
             return None
         return ScaleOutRequest(pool, min(MAX_PER_RENTAL, math.ceil(machines)), overdue)
@@ -167,7 +204,7 @@
     def scale_in_candidates(
         self, machines: Iterable[Machine], teams: dict[Team, TeamLimits], now: Seconds
     ) -> list[Machine]:
-        """Machines that neither the warm capacity nor the on-demand reserve needs.
+        """Machines that no waiting gang, warm capacity or on-demand reserve needs.
 
         The most expensive come first. They are idle, or expensive and kept in use by backfill
         alone.
@@ -182,7 +219,8 @@
             (
                 machine
                 for machine in usable
-                if machine.idle_since is not None or self._only_backfill(machine, teams, now)
+                if machine.id not in self._held_for_gangs
+                and (machine.idle_since is not None or self._only_backfill(machine, teams, now))
             ),
             key=lambda machine: -price_per_cpu(machine.type, machine.spot),
         )
--- a/src/crosscleat/core/capacity/pool_catalog.py
+++ b/src/crosscleat/core/capacity/pool_catalog.py
@@ -6,11 +6,14 @@
 from typing import NamedTuple, Protocol
 
 from ..model.cloud import MachineType
-from ..model.ids import Seconds, TypeName
+from ..model.ids import Seconds, TypeName, Zone
 from ..model.job_spec import JobSpec
 from ..scheduling.free_capacity import count_fitting, fetch_time
+from ..scheduling.zone_limits import ZoneLimits
 from ..state.jobs import Job
 from .pools import MAX_PER_RENTAL, Pool, PoolKey, ScaleOutRequest
+from .unplaced_work import UnplacedTasks
+from .waiting_reasons import WaitingReason
 
 EXPENSIVE_PRICE_RATIO = 1.6
 """A CPU that costs more than this times the cheapest one, on demand or spot, is expensive."""
@@ -40,12 +43,18 @@
 
     pool: PoolKey
     tasks_per_machine: int
+    max_tasks: int
+    """How many tasks of the job its zone constraint still admits in the pool's zone."""
     price_per_task: float
     """Per hour, of the share of the machine that one task takes."""
     cpus: float
     """Of one machine."""
 
 
+TypeInPool = tuple[MachineType, PoolKey]
+"""A machine type, and one of its pools."""
+
+
 def price_per_cpu(machine_type: MachineType, spot: bool) -> float:
     """Price of one CPU per hour."""
     return machine_type.price_for(spot) / max(machine_type.cpus, MIN_CPUS)
@@ -80,26 +89,67 @@
         )
         return price_per_cpu(machine_type, spot) > EXPENSIVE_PRICE_RATIO * cheapest
 
-    def cheapest_for_job(self, job: Job, age_s: float, now: Seconds) -> PoolOffer | None:
-        """The cheapest open pool for tasks that no rented machine can start; None if there is none.
+    def cheapest_for_job(
+        self, unplaced: UnplacedTasks, zones: ZoneLimits, now: Seconds
+    ) -> PoolOffer | WaitingReason:
+        """The cheapest open pool for tasks that no rented machine can start, or why there is none.
 
         An expensive machine is only for work that it can still complete on time, or that has waited
-        for so long that it must start at any price.
+        for so long that it must start at any price. `zones` are without these tasks.
         """
+        job = unplaced.job
         suitable = self._suitable(job.spec)
-        # What only expensive machines suit has nothing cheaper to wait for.
-        has_cheaper = any(not self.is_expensive(found, key.spot) for found, key in suitable)
+        if not suitable:
+            return WaitingReason.NO_TYPE
+        admitted = [found for found in suitable if zones.admits(job.spec, found[1].zone)]
+        if not admitted:
+            return WaitingReason.NO_ZONE
+        affordable = self._affordable(job, admitted, now)
+        doubtful: frozenset[Zone] = frozenset()
+        if job.is_gang and job.spec.spread:
+            pools = self._pools_by_zone(affordable)
+            if not _may_hold(unplaced, pools, zones, now):
+                return WaitingReason.TOO_FEW_ZONES
+            doubtful = frozenset(zone for zone in pools if _is_doubtful(pools[zone]))
         offers = [
-            self._offer(job.spec, machine_type, key)
-            for machine_type, key in suitable
+            self._offer(job.spec, machine_type, key, zones)
+            for machine_type, key in affordable
             if self.pool(key).open(now)
-            and not (
-                has_cheaper
-                and self._avoids_expensive(job, age_s, machine_type)
+        ]
+        if not offers:
+            some_open = any(self.pool(key).open(now) for _, key in admitted)
+            return WaitingReason.TOO_EXPENSIVE if some_open else WaitingReason.POOLS_CLOSED
+        # A gang in several zones first asks the zone that has refused: a machine elsewhere would be
+        # paid for, returned and rented again while that zone has none.
+        return min(
+            offers,
+            key=lambda offer: (
+                offer.pool.zone not in doubtful,
+                offer.price_per_task,
+                offer.cpus,
+            ),
+        )
+
+    def _affordable(self, job: Job, found: list[TypeInPool], now: Seconds) -> list[TypeInPool]:
+        """Those that are not too expensive for the job at its age."""
+        # What only expensive machines suit has nothing cheaper to wait for.
+        if all(self.is_expensive(machine_type, key.spot) for machine_type, key in found):
+            return found
+        age_s = now - job.submitted
+        return [
+            (machine_type, key)
+            for machine_type, key in found
+            if not (
+                self._avoids_expensive(job, age_s, machine_type)
                 and self.is_expensive(machine_type, key.spot)
             )
         ]
-        return min(offers, key=lambda offer: (offer.price_per_task, offer.cpus), default=None)
+
+    def _pools_by_zone(self, found: list[TypeInPool]) -> dict[Zone, list[Pool]]:
+        pools: dict[Zone, list[Pool]] = {}
+        for _, key in found:
+            pools.setdefault(key.zone, []).append(self.pool(key))
+        return pools
 
     def cheapest_capacity(
         self, cpus: float, now: Seconds, suits: Callable[[MachineType, PoolKey], bool]
@@ -117,7 +167,7 @@
         _, size, key = min(options, key=lambda option: option[:2])
         return ScaleOutRequest(key, min(MAX_PER_RENTAL, max(1, int(cpus / size))))
 
-    def _suitable(self, spec: JobSpec) -> list[tuple[MachineType, PoolKey]]:
+    def _suitable(self, spec: JobSpec) -> list[TypeInPool]:
         """The pools on whose machines a task of the job fits and may be, open or not."""
         return [
             (machine_type, key)
@@ -127,11 +177,14 @@
             if (spec.spot or not key.spot) and spec.zone in (None, key.zone)
         ]
 
-    def _offer(self, spec: JobSpec, machine_type: MachineType, key: PoolKey) -> PoolOffer:
+    def _offer(
+        self, spec: JobSpec, machine_type: MachineType, key: PoolKey, zones: ZoneLimits
+    ) -> PoolOffer:
         fitting = count_fitting(spec, machine_type.cpus, machine_type.memory_gb, machine_type.gpus)
         count = max(1, fitting)
         price_per_task = machine_type.price_for(key.spot) / count
-        return PoolOffer(key, count, price_per_task, machine_type.cpus)
+        max_tasks = zones.tasks_left(spec, key.zone)
+        return PoolOffer(key, count, max_tasks, price_per_task, machine_type.cpus)
 
     def _avoids_expensive(self, job: Job, age_s: float, machine_type: MachineType) -> bool:
         """Whether the job rather waits than have such a machine rented at a high price."""
@@ -146,6 +199,24 @@
         return target_s - self._estimates.remaining_s(job) - start_s
 
 
+def _is_doubtful(pools: list[Pool]) -> bool:
+    """Whether each of a zone's pools has refused several times in a row."""
+    return all(pool.doubtful for pool in pools)
+
+
+def _may_hold(
+    unplaced: UnplacedTasks, pools: dict[Zone, list[Pool]], zones: ZoneLimits, now: Seconds
+) -> bool:
+    """Whether the zones whose pools may have machines would hold all tasks that a gang lacks."""
+    spec = unplaced.job.spec
+    admitted = sum(
+        zones.tasks_left(spec, zone)
+        for zone, found in pools.items()
+        if not _is_doubtful(found) or any(pool.open(now) for pool in found)
+    )
+    return admitted >= unplaced.tasks
+
+
 def _pools_of(machine_type: MachineType) -> list[PoolKey]:
     return [
         PoolKey(machine_type.name, zone, spot)
--- a/src/crosscleat/core/capacity/pools.py
+++ b/src/crosscleat/core/capacity/pools.py
@@ -15,6 +15,9 @@
 
 BACKOFF_FACTOR = 1.7
 
+DOUBTFUL_BACKOFF_S = 20.0
+"""A pool whose next pause is longer than this has refused twice in a row, or more often."""
+
 
 @dataclass(frozen=True, slots=True)
 class PoolKey:
@@ -46,6 +49,11 @@
         """Whether it may be asked again."""
         return self.refused_until <= now
 
+    @property
+    def doubtful(self) -> bool:
+        """Whether it has refused several times in a row."""
+        return self.backoff_s > DOUBTFUL_BACKOFF_S
+
     def refuse(self, now: Seconds) -> None:
         """Ask it later, as it had no capacity or too little: each time after a longer pause."""
         self.refused_until = Seconds(now + self.backoff_s)
--- a/src/crosscleat/core/capacity/scaling.py
+++ b/src/crosscleat/core/capacity/scaling.py
@@ -8,23 +8,27 @@
 from ..election.term import LeadingTerm
 from ..model.cloud import HOUR_S
 from ..model.cloud_calls import Rent, RentalOutcome, RentalUnanswered, Rented
-from ..model.ids import JobRef, MachineId, Seconds
+from ..model.ids import LONG_AGO, JobRef, MachineId, Seconds
 from ..scheduling.scoring import Scorer
 from ..state.cluster import ClusterState
 from ..state.jobs import Job
 from ..state.machine import Machine
 from .budget import Budget
-from .capacity_targets import CpuUse
+from .capacity_targets import CapacityUse
 from .decommissioning import Decommissioner
 from .fleet import Fleet
 from .interruptions import InterruptionStats
 from .machines import Machines
 from .pool_catalog import price_per_cpu
 from .pools import ScaleOutRequest
+from .waiting_reasons import WaitingReport
 
 ADJUST_S = 1.0
 """How often demand and machines are compared; sooner after a rental was answered."""
 
+REPORT_S = 30.0
+"""How often it is logged why nothing is rented for jobs that wait."""
+
 MAX_RENTAL_ATTEMPTS = 4
 """A rental without an answer is requested so often, each time under the same name."""
 
@@ -72,6 +76,8 @@
         self._rentals = 0
         """Rental requests of this term; repeats are not counted."""
         self._adjust_at = term.now
+        self._report_at = term.now
+        self._budget_logged_at = LONG_AGO
         self._risks_updated_at = term.now
         self._expects_machines = True
         """Machines may be rented from before this term."""
@@ -96,13 +102,31 @@
         budget = self._charged_budget(rate_per_s, now)
         jobs = [job for job in self._jobs.values() if not job.cancelled]
         teams = self._term.deployment.teams
-        request = self._fleet.next_scale_out(jobs, machines, teams, self._cpu_use(), now)
+        report = WaitingReport(now, wanted=now >= self._report_at)
+        use = self._capacity_use()
+        request = self._fleet.next_scale_out(jobs, machines, teams, use, now, report)
+        self._log_waiting(report, now)
         if request is None or self._rental_pending or not self._machines_discovered(now):
             return
         added_per_s = self._rate_per_s(request)
         waiting_cost = self._waiting_cost(jobs)
         if request.overdue or budget.admits(rate_per_s, added_per_s, waiting_cost, now):
             self.rent(request)
+        elif now >= self._budget_logged_at + REPORT_S:
+            self._budget_logged_at = now
+            pool = request.pool
+            self._log(f"the budget holds back {request.count} of {pool.type} in {pool.zone}")
+
+    def _log_waiting(self, report: WaitingReport, now: Seconds) -> None:
+        """Log why jobs that have waited for long have no machine rented for them."""
+        if now < self._report_at:
+            return
+        self._report_at = Seconds(now + REPORT_S)
+        for waiting in report.oldest():
+            self._log(str(waiting))
+
+    def _log(self, text: str) -> None:
+        self._term.outbox.log("info", text)
 
     def _scale_in(self, machines: list[Machine], now: Seconds) -> None:
         teams = self._term.deployment.teams
@@ -123,10 +147,12 @@
         for job in self._jobs.values():
             job.at_risk = not job.cancelled and self._interruptions.at_risk(job, self._scorer, now)
 
-    def _cpu_use(self) -> CpuUse:
+    def _capacity_use(self) -> CapacityUse:
         """What is used and asked for, by the kinds of work that capacity is kept for."""
-        return CpuUse(
+        return CapacityUse(
             by_team=self._cluster.team_cpus,
+            gpus_by_team=self._cluster.team_gpus,
+            job_zones=self._cluster.job_zones,
             at_risk=self._cpus_of(lambda job: job.at_risk),
             on_demand_only=self._cpus_of(lambda job: not job.spec.spot and not job.cancelled),
             backfill=sum(
@@ -221,11 +247,12 @@
         self._rental_pending = False
         if not isinstance(outcome, Rented):
             pool.refuse(now)
+            self._log(f"refused: {request.count} of {key.type} in {key.zone}")
             return
         for machine in outcome.machines:
             self._machines.enter_rented(key, MachineId(machine))
         rented = len(outcome.machines)
-        self._term.outbox.log("info", f"scaled out by {rented} of {key.type} in {key.zone}")
+        self._log(f"scaled out by {rented} of {key.type} in {key.zone}")
         if rented < request.count:
             pool.refuse(now)
         else:
--- a/src/crosscleat/core/capacity/unplaced_work.py
+++ b/src/crosscleat/core/capacity/unplaced_work.py
@@ -6,18 +6,23 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from ..model.deployment import TeamLimits
-from ..model.ids import Team
+from ..model.ids import JobRef, MachineId, Team
 from ..model.quantities import ROUNDING
 from ..scheduling.free_capacity import FreeCapacity, by_zone
 from ..scheduling.job_selection import fails_repeatedly
-from ..scheduling.quota import tasks_within_limit
+from ..scheduling.quota import tasks_within_limits
+from ..scheduling.zone_limits import ZoneLimits
+from ..state.job_zones import is_zone_limited
 from ..state.jobs import Job
 from ..state.machine import Machine
+from .capacity_targets import CapacityUse
+from .waiting_reasons import WaitingReason, WaitingReport
 
 
 class UnplacedTasks(NamedTuple):
@@ -28,14 +33,22 @@
     """How many."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class WaitingWork:
     """What waits, as far as the teams' quotas admit it."""
 
     requested_cpus: float
     """CPUs in use and of all that waits; backfill is left out."""
-    unplaced: list[UnplacedTasks]
+    zones: ZoneLimits
+    """Where more tasks may be, beside those placed and those counted into free capacity."""
+    unplaced: list[UnplacedTasks] = field(default_factory=list)
     """The most urgent and oldest jobs first."""
+    gang_machines: dict[JobRef, list[MachineId]] = field(default_factory=dict)
+    """The machines into whose free capacity tasks of a gang were counted."""
+
+    def machines_of_gangs(self) -> frozenset[MachineId]:
+        """The machines whose free capacity waiting gangs count on."""
+        return frozenset(itertools.chain.from_iterable(self.gang_machines.values()))
 
     def lacking_cpus(self) -> float:
         """CPUs of the unplaced tasks; backfill is left out."""
@@ -50,35 +63,53 @@
     jobs: Iterable[Job],
     machines: Iterable[Machine],
     teams: Mapping[Team, TeamLimits],
-    team_cpus: Mapping[str, float],
-    used_cpus: float,
+    use: CapacityUse,
+    report: WaitingReport,
 ) -> WaitingWork:
-    """Count the waiting tasks into the free capacity of the machines.
-
-    `team_cpus` are the CPUs that each team uses, `used_cpus` those of all work but backfill.
-    """
+    """Count the waiting tasks into the free capacity of the machines."""
+    used_cpus = sum(use.by_team.values()) - use.backfill
+    work = WaitingWork(used_cpus, ZoneLimits(use.job_zones))
     waiting = sorted(
-        (job for job in jobs if job.waiting_count() > 0 and not fails_repeatedly(job)),
+        (job for job in jobs if job.waiting_count() > 0),
         key=lambda job: (-job.spec.priority, job.submitted),
     )
+    counted = _WithinQuota(teams, use)
     capacity = _CapacityLeft(
-        machines, min((job.spec.cpus for job in waiting), default=0.0) - ROUNDING
+        machines, min((job.spec.cpus for job in waiting), default=0.0) - ROUNDING, work
     )
-    team_used = dict(team_cpus)
-    requested_cpus = used_cpus
-    unplaced: list[UnplacedTasks] = []
     for job in waiting:
-        spec = job.spec
-        limit = teams[spec.team].cpus_max if spec.team in teams else 0.0
-        used = team_used.get(spec.team, 0.0)
-        count = tasks_within_limit(spec, job.waiting_count(), used, limit)
-        team_used[spec.team] = used + count * spec.cpus
+        if fails_repeatedly(job):
+            report.add(job, job.waiting_count(), WaitingReason.FAILS)
+            continue
+        count = counted.take(job)
+        report.add(job, job.waiting_count() - count, WaitingReason.OVER_QUOTA)
         if not job.backfill:
-            requested_cpus += count * spec.cpus
-        count -= capacity.take(job, count)
-        if count > 0:
-            unplaced.append(UnplacedTasks(job, count))
-    return WaitingWork(requested_cpus, unplaced)
+            work.requested_cpus += count * job.spec.cpus
+        taken = capacity.take(job, count)
+        report.add(job, taken, WaitingReason.COUNTED)
+        if count > taken:
+            work.unplaced.append(UnplacedTasks(job, count - taken))
+    return work
+
+
+class _WithinQuota:
+    """Counts the waiting tasks that the quotas of their teams admit."""
+
+    def __init__(self, teams: Mapping[Team, TeamLimits], use: CapacityUse) -> None:
+        self._teams = teams
+        self._cpus = dict(use.by_team)
+        self._gpus = dict(use.gpus_by_team)
+
+    def take(self, job: Job) -> int:
+        """Count in as many waiting tasks of the job as its team's quota admits; how many."""
+        spec = job.spec
+        cpus = self._cpus.get(spec.team, 0.0)
+        gpus = self._gpus.get(spec.team, 0.0)
+        limits = self._teams.get(spec.team)
+        count = tasks_within_limits(spec, job.waiting_count(), cpus, gpus, limits)
+        self._cpus[spec.team] = cpus + count * spec.cpus
+        self._gpus[spec.team] = gpus + count * spec.gpus
+        return count
 
 
 class _CapacityLeft:
@@ -87,36 +118,70 @@
     Most machines are full and are left out: otherwise each job would look at all of them.
     """
 
-    def __init__(self, machines: Iterable[Machine], min_cpus: float) -> None:
+    def __init__(self, machines: Iterable[Machine], min_cpus: float, work: WaitingWork) -> None:
         """Machines with fewer free CPUs than `min_cpus` are full."""
         self._min_cpus = min_cpus
+        self._work = work
         self._candidates = [
             free for machine in machines if (free := FreeCapacity.of(machine)).cpus >= min_cpus
         ]
 
     def take(self, job: Job, max_count: int) -> int:
         """Count up to `max_count` of the job's tasks in; how many fitted."""
+        if is_zone_limited(job.spec):
+            return self._take_by_zone(job, max_count)
+        return self._fill(job, self._candidates, max_count)
+
+    def _take_by_zone(self, job: Job, max_count: int) -> int:
+        """In each zone, no more than the job's zone constraint leaves of it."""
+        zones = self._work.zones
+        taken = 0
+        for found in self._zones_for(job, max_count):
+            zone = found[0].machine.zone
+            admitted = min(max_count - taken, zones.tasks_left(job.spec, zone))
+            in_zone = self._fill(job, found, admitted)
+            zones.count_in(job.spec, zone, in_zone)
+            taken += in_zone
+        return taken
+
+    def _zones_for(self, job: Job, count: int) -> list[list[FreeCapacity]]:
+        """The free capacity that the job may use, by zone.
+
+        For a job that must be in one zone: only of a zone that has capacity for all, if any has.
+        Without one a gang uses none, and an array that with the most.
+        """
+        spec = job.spec
+        zones = [
+            found
+            for found in by_zone(free for free in self._candidates if _may_use(job, free))
+            if self._work.zones.admits(spec, found[0].machine.zone)
+        ]
+        if not spec.one_zone:
+            return zones
+        held = [sum(free.count_fitting(spec) for free in found) for found in zones]
+        for found, tasks in zip(zones, held, strict=True):
+            if tasks >= count:
+                return [found]
+        if job.is_gang or not zones:
+            return []
+        return [zones[held.index(max(held))]]
+
+    def _fill(self, job: Job, candidates: list[FreeCapacity], max_count: int) -> int:
         left = max_count
         filled = False
-        for free in self._candidates_for(job, max_count):
+        for free in candidates:
             if left <= 0:
                 break
             if _may_use(job, free):
-                left -= free.take_up_to(job.spec, left)
+                taken = free.take_up_to(job.spec, left)
+                left -= taken
                 filled = filled or free.cpus < self._min_cpus
+                if job.is_gang and taken > 0:
+                    self._work.gang_machines.setdefault(job.ref, []).append(free.machine.id)
         if filled:
             self._candidates = [free for free in self._candidates if free.cpus >= self._min_cpus]
         return max_count - left
 
-    def _candidates_for(self, job: Job, count: int) -> list[FreeCapacity]:
-        """For a gang that must be in one zone: a zone that has capacity for all, if any has."""
-        if not (job.is_gang and job.spec.one_zone):
-            return self._candidates
-        for found in by_zone(free for free in self._candidates if _may_use(job, free)):
-            if sum(free.count_fitting(job.spec) for free in found) >= count:
-                return found
-        return []
-
 
 def _may_use(job: Job, free: FreeCapacity) -> bool:
     """Whether a task of the job may be there, GPUs aside: those are counted when it is taken."""
--- a/src/crosscleat/core/scheduling/feasibility.py
+++ b/src/crosscleat/core/scheduling/feasibility.py
@@ -17,6 +17,7 @@
 from .assignments import Reservation
 from .free_capacity import FreeCapacity, fetch_time
 from .quota import within_limit
+from .zone_limits import ZoneLimits
 
 RESERVED_FROM_ALL_AFTER_S = 60.0
 """Work of a higher priority may use a reserved machine until the job that it is reserved for has
@@ -72,7 +73,6 @@
 
     def __init__(self, context: CycleContext, machines: Iterable[Machine]) -> None:
         """`machines` are those on which the cycle may place."""
-        self._cluster = context.cluster
         self._teams = context.teams
         self.now = context.now
         """The moment that the cycle plans for."""
@@ -80,8 +80,7 @@
         self._backfill_reserve = context.reserves.backfill_cpus
         self._cpus = dict(context.cluster.team_cpus)
         self._gpus = dict(context.cluster.team_gpus)
-        self._zones: dict[JobRef, dict[Zone, int]] = {}
-        """Tasks that the cycle has placed, of jobs that must be in one zone or in several."""
+        self._zones = ZoneLimits(context.cluster.job_zones)
         self._fetches: dict[tuple[MachineId, str], float] = {}
         """Seconds until an image is on a machine, where a task of the cycle makes it fetch it."""
         self._taken: dict[JobRef, int] = {}
@@ -113,7 +112,7 @@
             return False
         if self._is_kept_from(job, candidate) and not self.ignores_reserves(job):
             return False
-        return self._zone_admits(job, candidate.machine)
+        return self._zones.admits(job.spec, candidate.machine.zone)
 
     def _is_kept_from(self, job: Job, candidate: FreeCapacity) -> bool:
         """Whether the capacity is left to other work, or the job has failed there."""
@@ -158,13 +157,7 @@
 
     def tasks_left_in_zone(self, job: Job, zone: Zone) -> int:
         """How many more tasks of the job may be in the zone."""
-        spec = job.spec
-        if not self._cluster.zone_allows(spec, zone):
-            return 0
-        if not spec.spread:
-            return spec.tasks
-        placed = self._zones.get(job.ref, {})
-        return spec.per_zone() - self._cluster.tasks_in_zone(spec, zone) - placed.get(zone, 0)
+        return self._zones.tasks_left(job.spec, zone)
 
     def _failed_everywhere(self, job: Job) -> bool:
         """Whether it failed on each machine that it could be on: then any of them may try again."""
@@ -175,20 +168,6 @@
             and candidate.machine.type.has_capacity_for(job.spec)
         )
 
-    def _zone_admits(self, job: Job, machine: Machine) -> bool:
-        spec = job.spec
-        if not spec.one_zone and not spec.spread:
-            return True
-        placed = self._zones.get(job.ref, {})
-        if not self._cluster.zone_allows(spec, machine.zone):
-            return False
-        if spec.one_zone and any(zone != machine.zone for zone in placed):
-            return False
-        if spec.spread:
-            before = self._cluster.tasks_in_zone(spec, machine.zone)
-            return before + placed.get(machine.zone, 0) < spec.per_zone()
-        return True
-
     def team_admits(self, job: Job, count: int = 1) -> bool:
         """Whether so many more tasks keep the job's team within its limit."""
         limits = self._teams.get(job.spec.team)
@@ -213,9 +192,7 @@
         self._taken[job.ref] = self._taken.get(job.ref, 0) + 1
         self._cpus[spec.team] = self._cpus.get(spec.team, 0.0) + spec.cpus
         self._gpus[spec.team] = self._gpus.get(spec.team, 0.0) + spec.gpus
-        if spec.one_zone or spec.spread:
-            zones = self._zones.setdefault(job.ref, {})
-            zones[candidate.machine.zone] = zones.get(candidate.machine.zone, 0) + 1
+        self._zones.count_in(spec, candidate.machine.zone)
         key = (candidate.machine.id, spec.image)
         if key not in self._fetches:
             self._fetches[key] = self.fetch_s(job, candidate)
--- a/src/crosscleat/core/scheduling/free_capacity.py
+++ b/src/crosscleat/core/scheduling/free_capacity.py
@@ -73,7 +73,7 @@
 
         It subtracts their sum. `take` for each of them may differ from that by rounding.
         """
-        count = min(max_count, self.count_fitting(spec))
+        count = max(0, min(max_count, self.count_fitting(spec)))
         if count > 0:
             self.cpus -= count * spec.cpus
             self.memory_gb -= count * spec.memory_gb
--- a/src/crosscleat/core/scheduling/preemption.py
+++ b/src/crosscleat/core/scheduling/preemption.py
@@ -23,7 +23,8 @@
 from .feasibility import CycleContext
 from .free_capacity import FreeCapacity
 from .job_selection import fails_repeatedly
-from .quota import tasks_within_limit
+from .quota import tasks_within_limits
+from .zone_limits import ZoneLimits
 
 PREEMPTION_INTERVAL_S = 0.5
 """Seconds between two passes."""
@@ -86,7 +87,6 @@
         running: list[RunningWork],
         rng: Random,
     ) -> None:
-        self._cluster = context.cluster
         self._teams = context.teams
         self._now = context.now
         self._jobs = jobs
@@ -96,6 +96,8 @@
         self._candidates: dict[MachineId, FreeCapacity] = {}
         """What is free once all stopping tasks have ended, less what this pass counts in."""
         self._cpus = dict(context.cluster.team_cpus)
+        self._gpus = dict(context.cluster.team_gpus)
+        self._zones = ZoneLimits(context.cluster.job_zones)
         self._chosen: list[Victim] = []
         self._stopped: set[tuple[MachineId, AttemptKey]] = set()
         """What this pass has chosen."""
@@ -142,6 +144,8 @@
         heapq.heapify(options)
         while options and wanted > 0 and len(self._chosen) < MAX_VICTIMS:
             option = heapq.heappop(options)
+            if not self._zones.admits(job.spec, option.candidate.machine.zone):
+                continue
             self._stop(option)
             wanted -= self._count_in(job, [option.candidate], wanted)
             another = self._option(job, option.candidate)
@@ -150,11 +154,14 @@
 
     def _within_limit(self, job: Job) -> int:
         """How many waiting tasks the team's limit admits; those that this pass counted use it."""
-        limits = self._teams.get(job.spec.team)
-        if limits is None:
-            return 0
-        used = self._cpus.get(job.spec.team, 0.0)
-        return tasks_within_limit(job.spec, job.waiting_count(), used, limits.cpus_max)
+        team = job.spec.team
+        return tasks_within_limits(
+            job.spec,
+            job.waiting_count(),
+            self._cpus.get(team, 0.0),
+            self._gpus.get(team, 0.0),
+            self._teams.get(team),
+        )
 
     def _candidates_with_yielding_work(self, job: Job) -> list[FreeCapacity]:
         """Machines that the job may use and on which work runs that yields to it."""
@@ -175,7 +182,7 @@
             return None
         if not machine.type.has_capacity_for(job.spec):
             return None
-        if not self._cluster.zone_allows(job.spec, machine.zone):
+        if not self._zones.admits(job.spec, machine.zone):
             return None
         candidate = self._candidates.get(machine_id)
         if candidate is None:
@@ -189,15 +196,18 @@
         """Count in, and return, the job's tasks that fit what is free or being freed."""
         counted = 0
         for candidate in candidates:
-            count = candidate.count_fitting(job.spec)
-            count = max(0, min(count, wanted - counted))
+            zone = candidate.machine.zone
+            admitted = min(wanted - counted, self._zones.tasks_left(job.spec, zone))
+            count = max(0, min(candidate.count_fitting(job.spec), admitted))
             for _ in range(count):
                 candidate.take(job.spec)
+            self._zones.count_in(job.spec, zone, count)
             counted += count
             if counted >= wanted:
                 break
         team = job.spec.team
         self._cpus[team] = self._cpus.get(team, 0.0) + counted * job.spec.cpus
+        self._gpus[team] = self._gpus.get(team, 0.0) + counted * job.spec.gpus
         return counted
 
     def _option(self, job: Job, candidate: FreeCapacity) -> PreemptionOption | None:
--- a/src/crosscleat/core/scheduling/quota.py
+++ b/src/crosscleat/core/scheduling/quota.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ..model.deployment import TeamLimits
 from ..model.job_spec import JobSpec
 from ..model.quantities import ROUNDING
 
@@ -17,6 +18,23 @@
     `used_cpus` is what the team uses before them. A limit of 0 means that there is none, and tasks
     without CPUs always keep to it.
     """
-    if cpu_limit <= 0 or spec.cpus <= 0:
+    return _count_within(spec.cpus, max_count, used_cpus, cpu_limit)
+
+
+def tasks_within_limits(
+    spec: JobSpec, max_count: int, used_cpus: float, used_gpus: float, limits: TeamLimits | None
+) -> int:
+    """How many of `max_count` tasks of the job keep its team within its limits of CPUs and GPUs.
+
+    Without limits on record, which is not the same as limits of 0, nothing of the team is placed.
+    """
+    if limits is None:
+        return 0
+    by_cpus = tasks_within_limit(spec, max_count, used_cpus, limits.cpus_max)
+    return _count_within(spec.gpus, by_cpus, used_gpus, limits.gpus_max)
+
+
+def _count_within(need: float, max_count: int, used: float, limit: float) -> int:
+    if limit <= 0 or need <= 0:
         return max_count
-    return min(max_count, max(0, int((cpu_limit - used_cpus) / spec.cpus + ROUNDING)))
+    return min(max_count, max(0, int((limit - used) / need + ROUNDING)))
--- a/src/crosscleat/core/scheduling/reservations.py
+++ b/src/crosscleat/core/scheduling/reservations.py
@@ -8,7 +8,7 @@
 
 import heapq
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -54,14 +54,19 @@
     for job in sorted(found, key=lambda job: job.submitted):
         if not feasibility.team_admits(job):
             continue
-        able = [group for group in groups if _large_on(job, group.machine, scorer)]
+        able = [
+            group
+            for group in groups
+            if _large_on(job, group.machine, scorer)
+            and feasibility.tasks_left_in_zone(job, group.machine.zone) > 0
+        ]
         if job.is_gang:
-            able = _able_to_hold_all(job, able)
+            able = _able_to_hold_all(job, able, feasibility)
         max_reserved = max(1, int(RESERVED_SHARE * sum(len(group.candidates) for group in able)))
         count = max_reserved - sum(group.reserved for group in able)
-        count = min(count, _machines_needed(job, able, scorer))
+        count = min(count, _machines_needed(job, able, scorer, job.waiting_count()))
         if count > 0:
-            _reserve(job, able, count)
+            _reserve(job, able, count, _max_by_zone(job, able, feasibility, scorer))
 
 
 def reserve_on_demand(candidates: Iterable[FreeCapacity], cpus: float) -> None:
@@ -126,18 +131,28 @@
     return (share * job.spec.tasks if job.is_gang else share) >= LARGE_SHARE
 
 
-def _able_to_hold_all(job: Job, groups: list[MachineGroup]) -> list[MachineGroup]:
+def _able_to_hold_all(
+    job: Job, groups: list[MachineGroup], feasibility: Feasibility
+) -> list[MachineGroup]:
     """The groups where the whole gang would fit if all were empty.
 
-    If it must be in one zone, those of the zone with the most free CPUs. Nothing is reserved for a
-    gang that fits nowhere.
+    If it must be in one zone, those of the zone with the most free CPUs; of a zone in which it may
+    have only some of its tasks, no more are counted. Nothing is reserved for a gang that fits
+    nowhere.
     """
+    held = [(zone, _max_tasks_in_zone(job, zone, feasibility)) for zone in by_zone(groups)]
     if not job.spec.one_zone:
-        return groups if _max_tasks(job, groups) >= job.waiting_count() else []
-    enough = [zone for zone in by_zone(groups) if _max_tasks(job, zone) >= job.waiting_count()]
+        return groups if sum(tasks for _, tasks in held) >= job.waiting_count() else []
+    enough = [zone for zone, tasks in held if tasks >= job.waiting_count()]
     return max(enough, key=_free_cpus, default=[])
 
 
+def _max_tasks_in_zone(job: Job, groups: list[MachineGroup], feasibility: Feasibility) -> int:
+    """How many of the job's tasks these machines of one zone would hold and may have."""
+    admitted = feasibility.tasks_left_in_zone(job, groups[0].machine.zone)
+    return min(_max_tasks(job, groups), admitted)
+
+
 def _max_tasks(job: Job, groups: list[MachineGroup]) -> int:
     """How many of the job's tasks the machines would hold if they were empty."""
     types = ((group.machine.type, len(group.candidates)) for group in groups)
@@ -152,23 +167,55 @@
     return sum(candidate.cpus for group in groups for candidate in group.candidates)
 
 
-def _machines_needed(job: Job, able: list[MachineGroup], scorer: Scorer) -> int:
-    """How many of them, emptied, the job's waiting tasks would take."""
+def _machines_needed(job: Job, able: list[MachineGroup], scorer: Scorer, tasks: int) -> int:
+    """How many of them, emptied, so many of the job's tasks would take."""
     if not job.is_gang:
-        return job.waiting_count()
+        return tasks
     share = max((scorer.share(job.spec, group.machine.type) for group in able), default=0.0)
-    return math.ceil(job.waiting_count() * share)
+    return math.ceil(tasks * share)
+
 
+def _max_by_zone(
+    job: Job, able: list[MachineGroup], feasibility: Feasibility, scorer: Scorer
+) -> dict[Zone, int] | None:
+    """How many machines of each zone its tasks may take at the most, if it is to be in several."""
+    if not job.spec.spread:
+        return None
+    zones = dict.fromkeys(group.machine.zone for group in able)
+    return {
+        zone: _machines_needed(job, able, scorer, feasibility.tasks_left_in_zone(job, zone))
+        for zone in zones
+    }
 
-def _reserve(job: Job, able: list[MachineGroup], count: int) -> None:
+
+def _reserve(
+    job: Job, able: list[MachineGroup], count: int, max_by_zone: dict[Zone, int] | None
+) -> None:
     """Reserve the emptiest machines that are not reserved for another job."""
-    free = (
+    reservation = Reservation(job.ref, job.spec.priority, job.submitted, job.is_gang)
+    for candidate, group in _emptiest_first(able):
+        if count <= 0:
+            return
+        if max_by_zone is not None:
+            zone = candidate.machine.zone
+            if max_by_zone[zone] <= 0:
+                continue
+            max_by_zone[zone] -= 1
+        count -= 1
+        candidate.reservation = reservation
+        group.reserved += 1
+
+
+def _emptiest_first(able: list[MachineGroup]) -> Iterator[tuple[FreeCapacity, MachineGroup]]:
+    """The machines that are not reserved; few of them are asked for."""
+    free = [
         (-candidate.cpus, -candidate.memory_gb, number, candidate, group)
         for number, (candidate, group) in enumerate(
             (candidate, group) for group in able for candidate in group.candidates
         )
         if candidate.reservation is None
-    )
-    for *_, candidate, group in heapq.nsmallest(count, free):
-        candidate.reservation = Reservation(job.ref, job.spec.priority, job.submitted, job.is_gang)
-        group.reserved += 1
+    ]
+    heapq.heapify(free)
+    while free:
+        *_, candidate, group = heapq.heappop(free)
+        yield candidate, group
--- a/src/crosscleat/core/state/cluster.py
+++ b/src/crosscleat/core/state/cluster.py
@@ -26,8 +26,9 @@
 )
 from ..model.job_spec import JobSpec, Priority
 from .allocations import Allocation
+from .job_zones import NO_ZONES, is_zone_limited, tasks_left_in_zone
 from .jobs import Job
-from .machine import NOWHERE, Machine
+from .machine import Machine
 
 
 class ClusterState:
@@ -98,17 +99,10 @@
 
     def zone_allows(self, job: JobSpec, zone: Zone) -> bool:
         """Whether the job's zone constraints admit one more of its tasks in this zone."""
-        if not job.one_zone and not job.spread:
-            return True
-        zones = self.job_zones.get(job.ref, {})
-        if job.one_zone and any(other != zone for other in zones):
-            return False
-        return not job.spread or self.tasks_in_zone(job, zone) < job.per_zone()
-
-    def tasks_in_zone(self, job: JobSpec, zone: Zone) -> int:
-        """The job's tasks that may be in the zone: also those on machines not yet described."""
-        zones = self.job_zones.get(job.ref, {})
-        return zones.get(zone, 0) + zones.get(NOWHERE, 0)
+        return (
+            not is_zone_limited(job)
+            or tasks_left_in_zone(job, zone, self.job_zones.get(job.ref, NO_ZONES)) > 0
+        )
 
     def allocations_before_epoch(
         self, machine: Machine, agent_epoch: AgentEpoch
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from crosscleat.core.capacity.capacity_targets import CpuUse
+from crosscleat.core.capacity.capacity_targets import CapacityUse
 from crosscleat.core.capacity.fleet import Fleet
 from crosscleat.core.capacity.pools import PoolKey, ScaleOutRequest
 from crosscleat.core.model.deployment import TuningOptions
@@ -46,7 +46,7 @@
 def next_request(
     fleet: Fleet, jobs: list[Job], machines: list[Machine] | None = None
 ) -> ScaleOutRequest | None:
-    return fleet.next_scale_out(jobs, machines or [], TEAMS, CpuUse(), NOW)
+    return fleet.next_scale_out(jobs, machines or [], TEAMS, CapacityUse(), NOW)
 
 
 def full_machines(count: int) -> list[Machine]:
--- a/tests/test_interruptions.py
+++ b/tests/test_interruptions.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from crosscleat.core.capacity.capacity_targets import CpuUse
+from crosscleat.core.capacity.capacity_targets import CapacityUse
 from crosscleat.core.capacity.demand import Demand
 from crosscleat.core.capacity.fleet import Fleet
 from crosscleat.core.capacity.interruptions import MAX_AT_ONCE, InterruptionStats
@@ -99,7 +99,7 @@
     ]
 
     def request(at: float, at_risk_cpus: float) -> ScaleOutRequest | None:
-        use = CpuUse({Team("blue"): 60.0}, at_risk=at_risk_cpus)
+        use = CapacityUse({Team("blue"): 60.0}, at_risk=at_risk_cpus)
         return made.next_scale_out([], spot, TEAMS, use, Seconds(at))
 
     for second in range(100):
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -5,7 +5,7 @@
 from random import Random
 from typing import Any
 
-from crosscleat.core.capacity.capacity_targets import CpuUse
+from crosscleat.core.capacity.capacity_targets import CapacityUse
 from crosscleat.core.model.deployment import TeamLimits, is_backfill
 from crosscleat.core.model.ids import (
     AgentEpoch,
@@ -218,7 +218,7 @@
         running = job_waiting_for(30.0, tasks=10)
         running.backfill = backfills
         for second in range(60):
-            use = CpuUse({"blue": 8.0}, backfill=8.0 if backfills else 0.0)
+            use = CapacityUse({"blue": 8.0}, backfill=8.0 if backfills else 0.0)
             made.next_scale_out([running], full_machines(10), TEAMS, use, Seconds(NOW + second))
         kept[backfills] = made.targets.demand.mean()
 
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -9,7 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from crosscleat.core.capacity.capacity_targets import CpuUse
+from crosscleat.core.capacity.capacity_targets import CapacityUse
 from crosscleat.core.capacity.fleet import MAX_PRICED, Fleet
 from crosscleat.core.capacity.machine_watch import MachineWatch
 from crosscleat.core.capacity.machines import Machines
@@ -110,7 +110,7 @@
     types = {machine_type.name: machine_type for machine_type in TYPES}
     fleet = Fleet(TuningOptions(), types, FixedTarget(60.0))
 
-    request = fleet.next_scale_out(jobs, machines, TEAMS, CpuUse(), NOW)
+    request = fleet.next_scale_out(jobs, machines, TEAMS, CapacityUse(), NOW)
 
     assert request is not None
     assert 0 < taken[0] <= JOBS * WITH_ROOM
@@ -143,7 +143,7 @@
     types = {machine_type.name: machine_type for machine_type in TYPES}
     fleet = Fleet(TuningOptions(), types, FixedTarget(60.0))
 
-    request = fleet.next_scale_out(jobs, [], TEAMS, CpuUse(), NOW)
+    request = fleet.next_scale_out(jobs, [], TEAMS, CapacityUse(), NOW)
 
     assert request is not None
     assert request.count == MAX_PER_RENTAL
--- a/tests/test_zone_limits.py
+++ b/tests/test_zone_limits.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -125,6 +126,8 @@
 def test_nothing_is_rented_elsewhere_for_a_one_zone_job_whose_zone_has_no_machines() -> None:
     scale_out = ScaleOut()
     machine = scale_out.add_machine("m-0", zone="b", type_index=0)
+    for number in range(2):
+        scale_out.add_machine(f"m-idle{number}")
     bound = scale_out.add_job("job-1", team=BLUE, tasks=2, cpus=4.0, one_zone=True)
     scale_out.place(bound, machine)
 
@@ -193,10 +196,17 @@
 MINUTES = 10
 
 
+def add_surplus_capacity(scale_out: ScaleOut) -> None:
+    """Small machines with some work on them: more capacity than all demand, none of it idle."""
+    for number in range(12):
+        machine = scale_out.add_machine(f"m-small{number}", type_index=0)
+        small = scale_out.add_job(f"job-small{number}", tasks=1, cpus=1.0)
+        scale_out.place(small, machine)
+
+
 def test_a_spread_gang_without_a_second_zone_does_not_rent_without_end() -> None:
     scale_out = ScaleOut()
-    for number in range(4):
-        scale_out.add_machine(f"m-idle{number}", type_index=0)
+    add_surplus_capacity(scale_out)
     scale_out.add_job("job-1", **spread(tasks=2, cpus=LARGE_TASK))
     scale_out.serve(60, refused=("b",))
     early = len(scale_out.rented)
@@ -224,10 +234,7 @@
     scale_out = ScaleOut()
     types = scale_out.leader.fleet.types
     for name, found in list(types.items()):
-        types[name] = MachineType(
-            found.name, found.cpus, found.gpus, found.memory_gb, found.cache_gb,
-            found.fetch_gb_per_s, found.price, found.spot_price, found.boot_s, (Zone("a"),),
-        )  # fmt: skip
+        types[name] = replace(found, zones=(Zone("a"),))
     scale_out.add_job("job-1", **spread(tasks=2, cpus=LARGE_TASK))
 
     requests = scale_out.adjust()
@@ -237,17 +244,14 @@
 
 def test_a_machine_that_a_gang_waits_with_is_not_returned_as_idle() -> None:
     scale_out = ScaleOut()
-    for number in range(6):
-        scale_out.add_machine(f"m-small{number}", type_index=0)
-    scale_out.add_job("job-1", **spread(tasks=2, cpus=LARGE_TASK, spot=False))
+    add_surplus_capacity(scale_out)
+    scale_out.add_job("job-1", **spread(tasks=2, cpus=LARGE_TASK), waited_s=100.0)
     (first,) = scale_out.adjust()
     (held,) = scale_out.grant(first)
     (second,) = scale_out.adjust()
     (boots,) = scale_out.grant(second, boots=False)
 
-    held.created_at = boots.created_at = scale_out.now
-    held.type = boots.type
-    for _ in range(65):
+    for _ in range(90):
         scale_out.adjust(1.0)
         boots.created_at = scale_out.now
 
