Effects no longer depend on Python's hash seed

Cause: sets of strings were gone through in four places: machines marked for direct commands, unknown attempts to be stopped, chunks of superseded records, and placements that a transaction recorded.

Change: the first three are mappings, which keep the order of entry; the fourth is sorted. All other sets in src were read: they are only asked for members, sizes, differences or subsets, or sorted before use.

--- a/src/crosscleat/core/control/commands.py
+++ b/src/crosscleat/core/control/commands.py
@@ -85,7 +85,7 @@
     def send_direct(self, now: Seconds) -> None:
         """Send their orders to the machines that are marked as direct targets."""
         pending = self._pending
-        targets, pending.direct_targets = pending.direct_targets, set()
+        targets, pending.direct_targets = pending.direct_targets, {}
         self._orders.begin()
         if self._term.election.token is None:
             return
@@ -94,7 +94,7 @@
             if machine is None or not self._takes_direct_commands(machine):
                 continue
             if machine.direct.in_flight:
-                pending.direct_targets.add(machine_id)
+                pending.direct_targets[machine_id] = None
                 continue
             if now < machine.direct.paused_until:
                 continue
--- a/src/crosscleat/core/control/pending_work.py
+++ b/src/crosscleat/core/control/pending_work.py
@@ -27,8 +27,8 @@
         """Jobs that are over, but for the transaction that records it."""
         self.rotation_wanted = False
         """Only a higher token rules out that a lost direct command is executed after all."""
-        self.direct_targets: set[MachineId] = set()
-        """Machines with orders that are worth a direct command."""
+        self.direct_targets: dict[MachineId, None] = {}
+        """Machines with orders that are worth a direct command, in the order of their marks."""
         self.heartbeat_requests: deque[Machine] = deque()
         """Machines to ask for a heartbeat, a few in each tick."""
 
@@ -46,7 +46,7 @@
 
     def send_soon(self, machine: MachineId) -> None:
         """Send the machine's orders at the end of this step, not with its next heartbeat."""
-        self.direct_targets.add(machine)
+        self.direct_targets[machine] = None
 
     def queue_heartbeat_requests(self, machines: Iterable[Machine]) -> None:
         """Ask these machines for a heartbeat, in this order and after those queued before."""
--- a/src/crosscleat/core/control/writer.py
+++ b/src/crosscleat/core/control/writer.py
@@ -211,7 +211,7 @@
         for record in batch.removed_records:
             self._placement_records.remove_record(record)
         for job, chunk, recorded in batch.chunks:
-            added = recorded - chunk.recorded
+            added = sorted(recorded - chunk.recorded)
             chunk.recorded = recorded
             self._listener.placements_recorded(
                 job, [placement.number for placement in added if job.is_current(*placement)]
--- a/src/crosscleat/core/state/machine.py
+++ b/src/crosscleat/core/state/machine.py
@@ -88,8 +88,9 @@
     used_cpus: float = 0.0
     used_gpus: float = 0.0
     used_memory: float = 0.0
-    orphans: set[AttemptKey] = field(default_factory=set)
-    """Attempts that its newest heartbeat lists and no record has: they are stopped."""
+    orphans: dict[AttemptKey, None] = field(default_factory=dict)
+    """Attempts that its newest heartbeat lists and no record has, in its order: they are
+    stopped."""
     confirmed_in_term: bool = False
     """Rented in this term, or a heartbeat has shown a token of it: it is no delayed heartbeat of
     a machine that no longer exists."""
@@ -120,11 +121,11 @@
             key: task.cause or "" for key, task in listed.items() if task.state == EXITED
         }
         self.direct.drop_starts(listed, self.allocations)
-        self.orphans = {
+        self.orphans = dict.fromkeys(
             key
             for key, task in listed.items()
             if task.state != EXITED and key not in self.allocations
-        }
+        )
 
     def fits(self, job: JobSpec) -> bool:
         """Whether one task of the job fits beside all allocations, running or not."""
--- a/src/crosscleat/core/state/placement_records.py
+++ b/src/crosscleat/core/state/placement_records.py
@@ -89,8 +89,8 @@
 
     key: str
     version: Version
-    waiting: set[tuple[JobRef, int]] = field(default_factory=set)
-    """The chunks of our length, by job and number, that are not written yet."""
+    waiting: dict[tuple[JobRef, int], None] = field(default_factory=dict)
+    """The chunks of our length, by job and number, that are not written yet, in their order."""
 
 
 class PlacementRecords:
@@ -115,7 +115,8 @@
         # The later change is valid, so it comes last.
         for item in sorted(items, key=lambda item: item.version):
             self._load_record(item, jobs)
-        for ref, number in {key for old in self._superseded for key in old.waiting}:
+        waiting = dict.fromkeys(key for old in self._superseded for key in old.waiting)
+        for ref, number in waiting:
             job = jobs[ref]
             self.record_for(job, job.chunks[number]).mark_changed(None, LONG_AGO)
 
@@ -139,7 +140,7 @@
                 if old is not None:
                     # A chunk of ours may have tasks of several such chunks: what other records
                     # have of it is needed until it is rewritten.
-                    old.waiting.add((job.ref, chunk.number))
+                    old.waiting[job.ref, chunk.number] = None
                 else:
                     self._detach(job, chunk)
                     chunk.record_number = number
@@ -148,7 +149,7 @@
     def _detach(self, job: Job, chunk: Chunk) -> None:
         """Take the chunk out of its record: a record that was changed later has it too."""
         for old in self._superseded:
-            old.waiting.discard((job.ref, chunk.number))
+            old.waiting.pop((job.ref, chunk.number), None)
         if chunk.record_number is not None:
             record = self._records[chunk.record_number]
             del record.entries[job.ref, chunk.number]
@@ -159,7 +160,8 @@
         """Note that the store has these chunks in our length."""
         keys = {(job.ref, chunk.number) for job, chunk in chunks}
         for old in self._superseded:
-            old.waiting -= keys
+            for key in keys:
+                old.waiting.pop(key, None)
 
     def take_rewritten(self) -> list[tuple[str, Version]]:
         """Records all of whose tasks are rewritten; they can be removed, and are given out once."""
