--- a/src/crosscleat/core/capacity/unplaced_work.py
+++ b/src/crosscleat/core/capacity/unplaced_work.py
@@ -12,9 +12,9 @@
 from typing import NamedTuple
 
 from ..model.deployment import TeamLimits
-from ..model.ids import JobRef, MachineId, Team
+from ..model.ids import JobRef, MachineId, Team, Zone
 from ..model.quantities import ROUNDING
-from ..scheduling.free_capacity import FreeCapacity, by_zone
+from ..scheduling.free_capacity import FreeCapacity
 from ..scheduling.job_selection import fails_repeatedly
 from ..scheduling.quota import tasks_within_limits
 from ..scheduling.zone_limits import ZoneLimits
@@ -128,60 +128,45 @@
 
     def take(self, job: Job, max_count: int) -> int:
         """Count up to `max_count` of the job's tasks in; how many fitted."""
-        if is_zone_limited(job.spec):
-            return self._take_by_zone(job, max_count)
-        return self._fill(job, self._candidates, max_count)
-
-    def _take_by_zone(self, job: Job, max_count: int) -> int:
-        """In each zone, no more than the job's zone constraint leaves of it."""
-        zones = self._work.zones
-        taken = 0
-        for found in self._zones_for(job, max_count):
-            zone = found[0].machine.zone
-            admitted = min(max_count - taken, zones.tasks_left(job.spec, zone))
-            in_zone = self._fill(job, found, admitted)
-            zones.count_in(job.spec, zone, in_zone)
-            taken += in_zone
-        return taken
-
-    def _zones_for(self, job: Job, count: int) -> list[list[FreeCapacity]]:
-        """The free capacity that the job may use, by zone.
-
-        For a job that must be in one zone: only of a zone that has capacity for all, if any has.
-        Without one a gang uses none, and an array that with the most.
-        """
-        spec = job.spec
-        zones = [
-            found
-            for found in by_zone(free for free in self._candidates if _may_use(job, free))
-            if self._work.zones.admits(spec, found[0].machine.zone)
-        ]
-        if not spec.one_zone:
-            return zones
-        held = [sum(free.count_fitting(spec) for free in found) for found in zones]
-        for found, tasks in zip(zones, held, strict=True):
-            if tasks >= count:
-                return [found]
-        if job.is_gang or not zones:
-            return []
-        return [zones[held.index(max(held))]]
-
-    def _fill(self, job: Job, candidates: list[FreeCapacity], max_count: int) -> int:
+        only_in = self._zone_for(job, max_count) if job.spec.one_zone else None
+        if max_count <= 0 or (job.spec.one_zone and only_in is None):
+            return 0
         left = max_count
         filled = False
-        for free in candidates:
+        for free in self._candidates:
             if left <= 0:
                 break
-            if _may_use(job, free):
-                taken = free.take_up_to(job.spec, left)
-                left -= taken
+            if only_in in (None, free.machine.zone) and _may_use(job, free):
+                left -= self._take_from(job, free, left)
                 filled = filled or free.cpus < self._min_cpus
-                if job.is_gang and taken > 0:
-                    self._work.gang_machines.setdefault(job.ref, []).append(free.machine.id)
         if filled:
             self._candidates = [free for free in self._candidates if free.cpus >= self._min_cpus]
         return max_count - left
 
+    def _take_from(self, job: Job, free: FreeCapacity, max_count: int) -> int:
+        zone = free.machine.zone
+        if is_zone_limited(job.spec):
+            max_count = min(max_count, self._work.zones.tasks_left(job.spec, zone))
+        taken = free.take_up_to(job.spec, max_count)
+        self._work.zones.count_in(job.spec, zone, taken)
+        if job.is_gang and taken > 0:
+            self._work.gang_machines.setdefault(job.ref, []).append(free.machine.id)
+        return taken
+
+    def _zone_for(self, job: Job, count: int) -> Zone | None:
+        """For a job that must be in one zone: one that has capacity for all, if any has.
+
+        Without one a gang uses none, and an array that with the most.
+        """
+        held: dict[Zone, int] = {}
+        for free in self._candidates:
+            zone = free.machine.zone
+            if _may_use(job, free) and self._work.zones.admits(job.spec, zone):
+                held[zone] = held.get(zone, 0) + free.count_fitting(job.spec)
+                if held[zone] >= count:
+                    return zone
+        return None if job.is_gang else max(held, key=held.__getitem__, default=None)
+
 
 def _may_use(job: Job, free: FreeCapacity) -> bool:
     """Whether a task of the job may be there, GPUs aside: those are counted when it is taken."""
--- a/src/crosscleat/core/scheduling/reservations.py
+++ b/src/crosscleat/core/scheduling/reservations.py
@@ -8,7 +8,7 @@
 
 import heapq
 import math
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -37,6 +37,10 @@
     reserved: int = 0
 
 
+Unreserved = tuple[float, float, int, FreeCapacity, MachineGroup]
+"""A free capacity behind what it is ordered by, and its group."""
+
+
 class SmallestMachine(NamedTuple):
     """The smallest amounts that any of the machines has."""
 
@@ -65,8 +69,10 @@
         max_reserved = max(1, int(RESERVED_SHARE * sum(len(group.candidates) for group in able)))
         count = max_reserved - sum(group.reserved for group in able)
         count = min(count, _machines_needed(job, able, scorer, job.waiting_count()))
-        if count > 0:
-            _reserve(job, able, count, _max_by_zone(job, able, feasibility, scorer))
+        if count > 0 and job.spec.spread:
+            _reserve_by_zone(job, able, count, feasibility, scorer)
+        elif count > 0:
+            _reserve(job, able, count)
 
 
 def reserve_on_demand(candidates: Iterable[FreeCapacity], cpus: float) -> None:
@@ -175,47 +181,33 @@
     return math.ceil(tasks * share)
 
 
-def _max_by_zone(
-    job: Job, able: list[MachineGroup], feasibility: Feasibility, scorer: Scorer
-) -> dict[Zone, int] | None:
-    """How many machines of each zone its tasks may take at the most, if it is to be in several."""
-    if not job.spec.spread:
-        return None
-    zones = dict.fromkeys(group.machine.zone for group in able)
-    return {
-        zone: _machines_needed(job, able, scorer, feasibility.tasks_left_in_zone(job, zone))
-        for zone in zones
-    }
-
-
-def _reserve(
-    job: Job, able: list[MachineGroup], count: int, max_by_zone: dict[Zone, int] | None
-) -> None:
-    """Reserve the emptiest machines that are not reserved for another job."""
+def _reserve(job: Job, able: list[MachineGroup], count: int) -> None:
+    """Reserve the emptiest of these machines that are not reserved for another job."""
     reservation = Reservation(job.ref, job.spec.priority, job.submitted, job.is_gang)
-    for candidate, group in _emptiest_first(able):
-        if count <= 0:
-            return
-        if max_by_zone is not None:
-            zone = candidate.machine.zone
-            if max_by_zone[zone] <= 0:
-                continue
-            max_by_zone[zone] -= 1
-        count -= 1
+    for *_, candidate, group in _emptiest(able, count):
         candidate.reservation = reservation
         group.reserved += 1
 
 
-def _emptiest_first(able: list[MachineGroup]) -> Iterator[tuple[FreeCapacity, MachineGroup]]:
-    """The machines that are not reserved; few of them are asked for."""
-    free = [
+def _reserve_by_zone(
+    job: Job, able: list[MachineGroup], count: int, feasibility: Feasibility, scorer: Scorer
+) -> None:
+    """The same, evenly, in zones of each of which the job may have only a share of its tasks."""
+    zones = by_zone(able)
+    for zones_left, groups in zip(range(len(zones), 0, -1), zones, strict=True):
+        admitted = feasibility.tasks_left_in_zone(job, groups[0].machine.zone)
+        needed = _machines_needed(job, able, scorer, admitted)
+        reserved = min(math.ceil(count / zones_left), needed)
+        _reserve(job, groups, reserved)
+        count -= reserved
+
+
+def _emptiest(able: list[MachineGroup], count: int) -> list[Unreserved]:
+    free = (
         (-candidate.cpus, -candidate.memory_gb, number, candidate, group)
         for number, (candidate, group) in enumerate(
             (candidate, group) for group in able for candidate in group.candidates
         )
         if candidate.reservation is None
-    ]
-    heapq.heapify(free)
-    while free:
-        *_, candidate, group = heapq.heappop(free)
-        yield candidate, group
+    )
+    return heapq.nsmallest(count, free)
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -18,6 +18,7 @@
 from crosscleat.core.control.leader import WATCHED_PER_S
 from crosscleat.core.control.progress import MAX_COUNTS
 from crosscleat.core.control.scheduler import PROMPT_MACHINES
+from crosscleat.core.model.cloud import MachineType
 from crosscleat.core.model.deployment import TeamLimits, TuningOptions
 from crosscleat.core.model.effects import ShardRequest
 from crosscleat.core.model.ids import JobRef, MachineId, Seconds, Team, Version, Zone
@@ -47,14 +48,14 @@
 TEAMS = {Team("red"): TeamLimits(Team("red"), 0.0, 0.0, 0.0, 0.0)}
 
 
-def flooded() -> tuple[list[Job], list[Machine]]:
+def flooded(count: int = MACHINES) -> tuple[list[Job], list[Machine]]:
     """Many jobs wait, with large tasks among them, and nearly all machines are full."""
     jobs = [
         Job(job(f"job-{n}", tasks=30, cpus=4.0 if n % 2 else 1.0), Version(1), Seconds(NOW - 50.0))
         for n in range(JOBS)
     ]
     machines = [
-        Machine(MachineId(f"m-{n}"), TYPES[1], Zone("ab"[n % 2]), True) for n in range(MACHINES)
+        Machine(MachineId(f"m-{n}"), TYPES[1], Zone("ab"[n % 2]), True) for n in range(count)
     ]
     for machine in machines[WITH_ROOM:]:
         machine.used_cpus = 7.5
@@ -150,6 +151,94 @@
     assert 0 < priced[0] <= MAX_PRICED
 
 
+SIZES = pytest.mark.parametrize("machines", [4_000, 6_000])
+ZONE_LIMITS = pytest.mark.parametrize("constraint", ["spread", "one_zone"])
+
+
+@SIZES
+@ZONE_LIMITS
+@pytest.mark.parametrize("shape", [Shape.ARRAY, Shape.GANG])
+def test_scaling_out_for_zone_limited_jobs_stops_where_all_tasks_are_counted(
+    monkeypatch: pytest.MonkeyPatch, machines: int, constraint: str, shape: Shape
+) -> None:
+    idle = [
+        Machine(MachineId(f"m-{n}"), TYPES[1], Zone("ab"[n % 2]), True) for n in range(machines)
+    ]
+    for machine in idle:
+        machine.has_sent_heartbeat = True
+    limits: dict[str, Any] = {constraint: True, "shape": shape}
+    jobs = [
+        Job(job(f"job-{n}", tasks=4, cpus=2.0, **limits), Version(1), Seconds(NOW - 50.0))
+        for n in range(JOBS)
+    ]
+    taken = counted(monkeypatch, FreeCapacity, "take_up_to")
+    fitting = counted(monkeypatch, FreeCapacity, "count_fitting")
+    types = {machine_type.name: machine_type for machine_type in TYPES}
+
+    Fleet(TuningOptions(), types, FixedTarget(60.0)).next_scale_out(
+        jobs, idle, TEAMS, CapacityUse(), NOW
+    )
+
+    assert 0 < taken[0] <= 6 * JOBS
+    assert fitting[0] <= 12 * JOBS
+
+
+@SIZES
+def test_patience_is_judged_by_kinds_of_machines_and_not_by_each_one(
+    monkeypatch: pytest.MonkeyPatch, machines: int
+) -> None:
+    # A job that fits on no machine asked each of them, once a second.
+    full = [
+        Machine(MachineId(f"m-{n}"), TYPES[0], Zone("ab"[n % 2]), True) for n in range(machines)
+    ]
+    for machine in full:
+        machine.has_sent_heartbeat = True
+        machine.used_cpus = 4.0
+    jobs = [
+        Job(job(f"job-{n}", tasks=1, cpus=8.0, spread=True), Version(1), Seconds(NOW - 50.0))
+        for n in range(JOBS)
+    ]
+    allowed = counted(monkeypatch, Machine, "allows")
+    fits = counted(monkeypatch, MachineType, "has_capacity_for")
+    types = {machine_type.name: machine_type for machine_type in TYPES}
+
+    Fleet(TuningOptions(), types, FixedTarget(60.0)).next_scale_out(
+        jobs, full, TEAMS, CapacityUse(), NOW
+    )
+
+    assert allowed[0] <= 4 * JOBS
+    assert fits[0] <= 10 * JOBS
+
+
+@SIZES
+@pytest.mark.parametrize("shape", [Shape.ARRAY, Shape.GANG])
+def test_zones_are_asked_for_no_more_often_with_more_machines(
+    monkeypatch: pytest.MonkeyPatch, machines: int, shape: Shape
+) -> None:
+    # A job's share of a zone is asked for once for each kind of machines and each zone.
+    asked = counted(monkeypatch, Feasibility, "tasks_left_in_zone")
+    calls = []
+    for number in (machines, 2 * machines):
+        _, found = flooded(number)
+        jobs = [
+            Job(
+                job(f"job-{n}", tasks=10, cpus=4.0, spread=True, shape=shape),
+                Version(1),
+                Seconds(NOW - 50.0),
+            )
+            for n in range(JOBS)
+        ]
+        scorer = Scorer(deployment("c0"), RunTimes())
+        asked[0] = 0
+        SchedulingCycle(CycleContext(ClusterState(), TEAMS, NOW), scorer, Random(1)).plan(
+            jobs, found, 48
+        )
+        calls.append(asked[0])
+
+    assert calls[0] > 0
+    assert calls[1] == calls[0]
+
+
 def test_jobs_that_fit_nowhere_leave_the_scheduling_cycle_to_others() -> None:
     leader_of_machines = [
         Job(job(f"job-l{n}", tasks=1, cpus=8.0, priority=Priority.HIGH), Version(1), NOW)
@@ -177,9 +266,6 @@
     assert min(sockets) >= 2
 
 
-SIZES = pytest.mark.parametrize("machines", [4_000, 6_000])
-
-
 def leader_of_machines(machines: int) -> Term:
     """A leader with that many machines, each of which has sent a heartbeat."""
     term = Term()
