--- /dev/null
+++ b/tests/test_done_gangs.py
@@ -0,0 +1,48 @@
+"""A gang of which one task is done, and whose other machines lose power at that moment.
+
+Seen on the 22nd of 90 drawn days of seed 83 (`tests.drawn_days --seed 83`), cut down to what is
+needed: "job-000001 never ends". Four of the gang's five tasks were done; the fifth was on a machine
+that lost power and began its agent epochs again at the same number. Its heartbeats did not list the
+attempt any more, which for other jobs has the start sent again. A gang's start is only sent while
+all its members are on record, so this one was neither started again nor taken as ended.
+"""
+
+from __future__ import annotations
+
+from crosscleat.core.model.job_spec import Priority, Shape
+
+from .test_rules import Rules
+
+
+def test_a_gang_ends_although_a_machine_forgets_its_last_attempt() -> None:
+    day = Rules()
+    day.begin(seed=10725, upgrade=False)
+    day.crash_in_an_election(after_s=0.01, back_s=0.5)
+    day.refuse(member="c1", seconds=3.0)
+    day.roll(apart_s=3.0, back_s=2.0)
+    day.roll(apart_s=0.1, back_s=2.0)
+    for tasks in (4, 5):
+        day.submit(
+            kind="plain",
+            place="spread",
+            priority=Priority.PRODUCTION,
+            shape=Shape.GANG,
+            tasks=tasks,
+            team="red",
+        )
+    day.refuse(member="c2", seconds=3.0)
+    day.roll(apart_s=0.1, back_s=2.0)
+    day.submit(
+        kind="broken",
+        place="spread",
+        priority=Priority.HIGH,
+        shape=Shape.ARRAY,
+        tasks=4,
+        team="blue",
+    )
+    day.many_leaders(apart_s=3.0, back_s=0.05, outage_s=0.0, times=6)
+    day.die(which=5)
+    day.many_machines(again=True, seconds=12.0)
+    day.teardown()
+
+    assert day.world.final_statuses["job-000001"] == "done"
