A done gang takes an attempt that its machine forgot as ended

Symptom: a gang with four of five tasks done never ended; its user waited for good.

Cause: its last machine lost power and began its agent epochs again at the same number, so that nothing proved the attempt's end by epoch. A start that no heartbeat lists is sent again, but a gang's start only while the placements of all members are on record, and done members have none. The attempt was neither started again nor stopped.

Change: an attempt of a gang that is done, and that the newest heartbeat doesn't list, is stopped; it ends as all stopped attempts do, once its start can no longer be executed. Other jobs have their starts sent again; gangs without a done task have all members on record.

--- a/src/crosscleat/core/control/task_statuses.py
+++ b/src/crosscleat/core/control/task_statuses.py
@@ -35,6 +35,9 @@
             allocation.in_last_heartbeat = False
             if allocation.stopping and not machine.may_still_start(allocation):
                 self._attempts.ended(machine, allocation)
+            elif not allocation.stopping and self._is_of_done_gang(allocation):
+                # No start of it is sent again: it has ended, or is not to begin any more.
+                self._attempts.stop(machine, allocation, 0.0)
             return
         allocation.in_last_heartbeat = allocation.start_sent = True
         if task.state == heartbeats.EXITED:
@@ -47,6 +50,10 @@
         if task.state == heartbeats.RUNNING and allocation.running_since is None:
             self._started_running(machine, allocation, job)
 
+    def _is_of_done_gang(self, allocation: Allocation) -> bool:
+        job = self._jobs.get(allocation.task.job)
+        return job is not None and job.is_gang and job.done_count > 0
+
     def _started_running(self, machine: Machine, allocation: Allocation, job: Job | None) -> None:
         """The attempt is listed as running for the first time."""
         now = self._term.now
