Failing: a gang that must be in one zone and in several is rented machines without end

Symptom: such a gang can never start; a machine is rented for it, returned after a minute and rented again.

Change: a test, and one that such a gang is accepted as before.

--- a/tests/test_user_requests.py
+++ b/tests/test_user_requests.py
@@ -72,6 +72,14 @@
     assert isinstance(effect, Commit) == accepted
 
 
+@pytest.mark.parametrize("changes", [{"one_zone": True}, {"zone": "a"}])
+def test_a_gang_that_its_zones_never_let_start_is_accepted(changes: dict[str, Any]) -> None:
+    """The protocol names no refusal for it; its user may cancel it."""
+    (effect,) = submit(tasks=2, spread=True, shape=Shape.GANG, **changes)
+
+    assert isinstance(effect, Commit)
+
+
 def test_without_machine_types_nothing_is_decided() -> None:
     requests, outbox = user_requests(types=False)
     requests.submit(1, job("job-1"), WallTime(0.0))
--- a/tests/test_zone_limits.py
+++ b/tests/test_zone_limits.py
@@ -242,6 +242,17 @@
     assert tasks_held(requests, LARGE_TASK).get("a", 0) == 0
 
 
+def test_a_gang_that_must_be_in_one_zone_and_in_several_rents_nothing() -> None:
+    # It is accepted, as before, and can never start.
+    scale_out = ScaleOut()
+    add_surplus_capacity(scale_out)
+    scale_out.add_job("job-1", **spread(tasks=2, cpus=LARGE_TASK, one_zone=True))
+
+    scale_out.serve(60 * MINUTES)
+
+    assert scale_out.rented == []
+
+
 def test_a_machine_that_a_gang_waits_with_is_not_returned_as_idle() -> None:
     scale_out = ScaleOut()
     add_surplus_capacity(scale_out)
