Nothing is rented for a gang that must be in one zone and in several

Cause: the places of all zones were added up, although it may have those of one only.

Change: of such a gang the largest share of a zone counts.

--- a/src/crosscleat/core/capacity/pool_catalog.py
+++ b/src/crosscleat/core/capacity/pool_catalog.py
@@ -209,12 +209,14 @@
 ) -> bool:
     """Whether the zones whose pools may have machines would hold all tasks that a gang lacks."""
     spec = unplaced.job.spec
-    admitted = sum(
+    admitted = [
         zones.tasks_left(spec, zone)
         for zone, found in pools.items()
         if not _is_doubtful(found) or any(pool.open(now) for pool in found)
-    )
-    return admitted >= unplaced.tasks
+    ]
+    # A gang that must be in one zone besides can never start.
+    in_all = max(admitted, default=0) if spec.one_zone else sum(admitted)
+    return in_all >= unplaced.tasks
 
 
 def _pools_of(machine_type: MachineType) -> list[PoolKey]:
