--- a/src/crosscleat/core/capacity/pool_catalog.py
+++ b/src/crosscleat/core/capacity/pool_catalog.py
@@ -111,16 +111,30 @@
             if not _may_hold(unplaced, pools, zones, now):
                 return WaitingReason.TOO_FEW_ZONES
             doubtful = frozenset(zone for zone in pools if _is_doubtful(pools[zone]))
-        offers = [
-            self._offer(job.spec, machine_type, key, zones)
-            for machine_type, key in affordable
+        offer = self._cheapest_open(job.spec, affordable, doubtful, zones, now)
+        if offer is not None:
+            return offer
+        some_open = any(self.pool(key).open(now) for _, key in admitted)
+        return WaitingReason.TOO_EXPENSIVE if some_open else WaitingReason.POOLS_CLOSED
+
+    def _cheapest_open(
+        self,
+        spec: JobSpec,
+        found: list[TypeInPool],
+        doubtful: frozenset[Zone],
+        zones: ZoneLimits,
+        now: Seconds,
+    ) -> PoolOffer | None:
+        """The cheapest of the open pools; those of doubtful zones come first.
+
+        A gang in several zones first asks the zone that has refused: a machine elsewhere would be
+        paid for, returned and rented again while that zone has none.
+        """
+        offers = (
+            self._offer(spec, machine_type, key, zones)
+            for machine_type, key in found
             if self.pool(key).open(now)
-        ]
-        if not offers:
-            some_open = any(self.pool(key).open(now) for _, key in admitted)
-            return WaitingReason.TOO_EXPENSIVE if some_open else WaitingReason.POOLS_CLOSED
-        # A gang in several zones first asks the zone that has refused: a machine elsewhere would be
-        # paid for, returned and rented again while that zone has none.
+        )
         return min(
             offers,
             key=lambda offer: (
@@ -128,6 +142,7 @@
                 offer.price_per_task,
                 offer.cpus,
             ),
+            default=None,
         )
 
     def _affordable(self, job: Job, found: list[TypeInPool], now: Seconds) -> list[TypeInPool]:
