--- a/tests/test_zone_limits.py
+++ b/tests/test_zone_limits.py
@@ -268,3 +268,15 @@
 
     assert {first.zone, second.zone} == {"a", "b"}
     assert not held.decommissioning
+
+
+def test_a_machine_is_not_kept_for_a_gang_that_can_have_no_other_zone() -> None:
+    # Kept for good, it would be paid for without a start.
+    scale_out = ScaleOut()
+    add_surplus_capacity(scale_out)
+    scale_out.add_job("job-1", **spread(tasks=2, cpus=LARGE_TASK))
+
+    scale_out.serve(60 * MINUTES, refused=("b",))
+
+    assert scale_out.rented
+    assert all(machine.decommissioning for machine in scale_out.rented)
