--- a/review/1/scenario.py
+++ b/review/1/scenario.py
@@ -17,7 +17,7 @@
 
 
 async def scenario(deployment: Deployment, record: Record, trouble: bool) -> None:
-    """Submit the gang, then ordinary jobs, and ask about these until they are done."""
+    """Submit the gang, then ordinary jobs, and ask about these until the time is over."""
     picks = MOST_PICKS if trouble else ORDINARY_PICKS
     gang = job(
         "job-000001",
@@ -37,7 +37,7 @@
     done: set[str] = set()
     polls = unanswered = 0
     end = record.now() + WATCH_S
-    while record.now() < end and len(done) < len(accepted):
+    while record.now() < end:
         await asyncio.sleep(2.0)
         answers = await asyncio.gather(*(deployment.poll(ref, n) for n, ref in enumerate(accepted)))
         for ref, (status, body) in zip(accepted, answers, strict=True):
@@ -46,14 +46,14 @@
             if status == 200 and body["status"] == "done":
                 done.add(ref)
     record.line(f"polls: {polls}, without an answer: {unanswered}")
+    if unanswered > polls / 2:
+        text = f"{unanswered} of {polls} polls got no answer within 2 s"
+        record.breaks("most requests stay unanswered", text)
     for ref in accepted:
         if ref not in done:
             starts = sum(pick.startswith(f"{ref}/") for pick in deployment.platform.starts)
             text = f"{ref}, two tasks of 5 s, is not done {WATCH_S:.0f} s after it was accepted"
-            record.breaks(
-                "an accepted job must run",
-                f"{text}; {starts} of its tasks started, {unanswered} of {polls} polls unanswered",
-            )
+            record.breaks("an accepted job must run", f"{text}; {starts} of its tasks started")
 
 
 if __name__ == "__main__":
