--- a/review/1/scenario.py
+++ b/review/1/scenario.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from standins.balancer import Balancer
 from standins.case import CannotRunError, main
 from standins.deployment import Deployment, job
 from standins.record import Record
@@ -18,6 +19,8 @@
 
 async def scenario(deployment: Deployment, record: Record, trouble: bool) -> None:
     """Submit the gang, then ordinary jobs, and ask about these until the time is over."""
+    balancer = Balancer(deployment)
+    await asyncio.sleep(3.0)
     picks = MOST_PICKS if trouble else ORDINARY_PICKS
     gang = job(
         "job-000001",
@@ -39,12 +42,13 @@
     end = record.now() + WATCH_S
     while record.now() < end:
         await asyncio.sleep(2.0)
-        answers = await asyncio.gather(*(deployment.poll(ref, n) for n, ref in enumerate(accepted)))
+        answers = await asyncio.gather(*(balancer.poll(ref) for ref in accepted))
         for ref, (status, body) in zip(accepted, answers, strict=True):
             polls += 1
             unanswered += status == 0
             if status == 200 and body["status"] == "done":
                 done.add(ref)
+    balancer.stop()
     record.line(f"polls: {polls}, without an answer: {unanswered}")
     if unanswered > polls / 2:
         text = f"{unanswered} of {polls} polls got no answer within 2 s"
