Mend: a job that needs next to nothing no longer ends every leader

Cause: the number of tasks within a team's limit, and the number that fit on a machine, are quotients of two amounts, which can be infinite; int() raises for that.

Change: quantities.whole_count turns each such quotient into a count, cut off at a million, ten times the tasks of the largest job. It replaces UNBOUNDED_TASKS.

--- a/src/crosscleat/core/model/quantities.py
+++ b/src/crosscleat/core/model/quantities.py
@@ -1,6 +1,20 @@
-"""Comparison of CPUs, GPUs and gigabytes, which are sums of decimal fractions."""
+"""Comparison and counting of CPUs, GPUs and gigabytes, which are sums of decimal fractions."""
 
 from __future__ import annotations
 
 ROUNDING_TOLERANCE = 1e-9
 """A sum may exceed a limit by this much, since rounding errors can cause it."""
+
+MAX_COUNT = 1_000_000
+"""Counts of tasks or machines are cut off here; a job has at most a tenth as many tasks."""
+
+
+def whole_count(quotient: float) -> int:
+    """Truncate a quotient of two amounts to a count from `-MAX_COUNT` to `MAX_COUNT`.
+
+    The quotient may lie just below a whole number due to rounding. It is infinite if the divisor is
+    close to the smallest positive number, and `int` raises OverflowError for that.
+    """
+    if -MAX_COUNT < quotient < MAX_COUNT:
+        return int(quotient + ROUNDING_TOLERANCE)
+    return MAX_COUNT if quotient > 0.0 else -MAX_COUNT
--- a/src/crosscleat/core/scheduling/free_capacity.py
+++ b/src/crosscleat/core/scheduling/free_capacity.py
@@ -9,13 +9,10 @@
 from ..model.cloud import MachineType
 from ..model.ids import Zone
 from ..model.job_spec import JobSpec
-from ..model.quantities import ROUNDING_TOLERANCE
+from ..model.quantities import MAX_COUNT, ROUNDING_TOLERANCE, whole_count
 from ..state.machine import Machine
 from .assignments import Reservation
 
-UNBOUNDED_TASKS = 1e6
-"""Number of tasks that fit on a machine if a task needs no resources."""
-
 
 @dataclass(slots=True)
 class FreeCapacity:
@@ -108,12 +105,10 @@
 
 
 def count_fitting(spec: JobSpec, cpus: float, memory_gb: float, gpus: float) -> int:
-    """How many of the job's tasks fit in this amount of free capacity."""
+    """How many of the job's tasks fit in this amount of free capacity, up to `MAX_COUNT`."""
     ratios = ((spec.cpus, cpus), (spec.memory_gb, memory_gb), (spec.gpus, gpus))
-    smallest = min(
-        (available / need for need, available in ratios if need > 0), default=UNBOUNDED_TASKS
-    )
-    return int(smallest + ROUNDING_TOLERANCE)
+    smallest = min((available / need for need, available in ratios if need > 0), default=MAX_COUNT)
+    return whole_count(smallest)
 
 
 def fetch_time(spec: JobSpec, machine_type: MachineType) -> float:
--- a/src/crosscleat/core/scheduling/quota.py
+++ b/src/crosscleat/core/scheduling/quota.py
@@ -4,7 +4,7 @@
 
 from ..model.deployment import TeamLimits
 from ..model.job_spec import JobSpec
-from ..model.quantities import ROUNDING_TOLERANCE
+from ..model.quantities import ROUNDING_TOLERANCE, whole_count
 
 
 def within_limit(amount: float, limit: float) -> bool:
@@ -38,4 +38,4 @@
 def _count_within(need: float, max_count: int, used: float, limit: float) -> int:
     if limit <= 0 or need <= 0:
         return max_count
-    return min(max_count, max(0, int((limit - used) / need + ROUNDING_TOLERANCE)))
+    return min(max_count, max(0, whole_count((limit - used) / need)))
