Mend: stopping a gang that saves all the time no longer ends its leader

When one of its machines is lost, the cycle that places it again ends the leader.

Cause: its progress is rounded down to the last checkpoint with math.floor, of an infinite quotient.

Change: quantities.round_down returns the amount as it is if the number of steps overflows. All other values are computed as before.

--- a/src/crosscleat/core/model/quantities.py
+++ b/src/crosscleat/core/model/quantities.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 ROUNDING_TOLERANCE = 1e-9
 """A sum may exceed a limit by this much, since rounding errors can cause it."""
 
@@ -18,3 +20,12 @@
     if -MAX_COUNT < quotient < MAX_COUNT:
         return int(quotient + ROUNDING_TOLERANCE)
     return MAX_COUNT if quotient > 0.0 else -MAX_COUNT
+
+
+def round_down(amount: float, step: float) -> float:
+    """Round a finite amount down to a multiple of `step`, which is positive.
+
+    It is returned as it is if `step` is so small that the number of steps overflows.
+    """
+    steps = amount / step
+    return amount if math.isinf(steps) else math.floor(steps) * step
--- a/src/crosscleat/core/state/gangs.py
+++ b/src/crosscleat/core/state/gangs.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import enum
-import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -16,6 +15,7 @@
 from ..model.deployment import Deployment
 from ..model.ids import MachineId, Seconds
 from ..model.job_spec import JobSpec
+from ..model.quantities import round_down
 from .allocations import Allocation
 from .machine import Machine
 
@@ -117,7 +117,7 @@
             return
         progress_s = self.saved_s + self.run_time_s(now)
         if not saved and spec.checkpoint_s > 0:
-            progress_s = math.floor(progress_s / spec.checkpoint_s) * spec.checkpoint_s
+            progress_s = round_down(progress_s, spec.checkpoint_s)
         if spec.checkpoint_s > 0:
             self.saved_s = max(self.saved_s, progress_s)
         self.running_since = None
--- a/tests/test_extreme_amounts.py
+++ b/tests/test_extreme_amounts.py
@@ -144,3 +144,17 @@
 
     rentals = [effect for effect in term.outbox.take() if isinstance(effect, Rent)]
     assert [rental.type for rental in rentals] == ["small"]
+
+
+def test_a_gang_that_saves_all_the_time_and_loses_a_machine_is_placed_again() -> None:
+    """Its leader ended with an OverflowError when it counted the gang's checkpoints."""
+    world = World(1)
+    world.boot_failure_chance = 0.0
+    world.clock.advance(4.0)
+    world.users.submit(job("job-gang", shape=Shape.GANG, estimate_s=20.0, checkpoint_s=SMALLEST))
+    world.clock.advance(14.0)
+
+    next(worker for worker in world.workers.values() if worker.tasks).restart()
+    world.finish()
+
+    assert world.final_statuses == {"job-gang": "done"}
--- a/tests/test_gang_progress.py
+++ b/tests/test_gang_progress.py
@@ -38,6 +38,19 @@
     assert progress.saved_s == 20.0
 
 
+@pytest.mark.parametrize("checkpoint_s", [5e-324, 1e-310, 1e-300, 1e-9])
+def test_checkpoints_without_a_pause_between_them_save_all_progress(checkpoint_s: float) -> None:
+    """The number of checkpoints was an infinite quotient: stopping the gang ended its leader."""
+    spec = job("job-g", shape=Shape.GANG, checkpoint_s=checkpoint_s)
+    progress = GangProgress()
+    progress.mark_running(Seconds(100.0))
+    progress.mark_stopping(Seconds(117.0))
+
+    progress.begin_attempt(spec)
+
+    assert progress.saved_s == pytest.approx(17.0)
+
+
 def test_remaining_run_time_counts_from_the_checkpoint() -> None:
     gang = make_job("job-g", shape=Shape.GANG, estimate_s=60.0, checkpoint_s=10.0)
     scorer = Scorer(deployment("c0"), RunTimes())
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -89,6 +89,23 @@
     assert pauses == [1.0, 2.0, 4.0, 8.0, 16.0, 32.0, *[MAX_FAILURE_PAUSE_S] * 3]
 
 
+def test_a_task_that_has_failed_for_a_day_still_pauses() -> None:
+    """From 1,024 failures on, after 17 hours, the power of two overflowed.
+
+    The exception left the task placed on a machine that no longer had it, so it never ran again.
+    """
+    failing_job = job_of(1)
+    failing_job.failures[0] = 1022
+    retries = retries_of(failing_job)
+
+    pauses = {
+        (retries.plan_retry(machine_of(0), failing_job, 0, ERROR) or TERM_BEGAN_AT) - TERM_BEGAN_AT
+        for _ in range(500)
+    }
+
+    assert pauses == {MAX_FAILURE_PAUSE_S}
+
+
 def test_a_machine_is_quarantined_once_two_jobs_failed_on_it() -> None:
     failing_job, other, machine = job_of(1), job_of(2), machine_of(0)
     retries = retries_of(failing_job, other)
