Mend: an estimate of next to nothing no longer stops rentals

Cause: RunTimes.learn divides by the estimate; an infinite ratio makes the factor of the class infinite, costs infinite, and the waiting cost 0 * inf, no number, which Budget.admits refuses.

Change: estimates below 0.1 s, the lower bound of run-time estimates, count as 0.1 s when ratios are learned and when estimates are corrected; corrected estimates have an upper bound, since an older leader may send an infinite factor to a shard owner. From 0.1 s on nothing changes.

--- a/src/crosscleat/core/scheduling/scoring.py
+++ b/src/crosscleat/core/scheduling/scoring.py
@@ -40,7 +40,8 @@
 """Variable part of that completion target, as a multiple of the estimated run time."""
 
 MIN_RUN_S = 0.1
-"""Lower bound of run-time estimates, in seconds."""
+MAX_RUN_S = 1e12
+"""Bounds of run-time estimates, in seconds; the upper one is the largest that a user can give."""
 
 MIN_COST = 1e-9
 """Lower bound of the highest cost, against a division by zero if no machine costs anything."""
@@ -71,13 +72,14 @@
         if job.estimate_s <= 0 or run_time_s <= 0:
             return
         ratios = self._ratios.setdefault(job.job_class, deque(maxlen=MAX_RATIOS))
-        ratios.append(run_time_s / job.estimate_s)
+        ratios.append(run_time_s / max(MIN_RUN_S, job.estimate_s))
         factor = (sum(ratios) + PRIOR_RATIOS) / (len(ratios) + PRIOR_RATIOS)
         self.factors[job.job_class] = factor
 
     def estimate(self, job: JobSpec) -> float:
         """The user's estimate in seconds, corrected by the factor of the job's class."""
-        return max(MIN_RUN_S, job.estimate_s * self.factors.get(job.job_class, 1.0))
+        corrected_s = max(MIN_RUN_S, job.estimate_s) * self.factors.get(job.job_class, 1.0)
+        return min(MAX_RUN_S, max(MIN_RUN_S, corrected_s))
 
 
 class Scorer:
