Mend: a task that has failed for 17 hours is still placed again

A task's 1,024th failure in a row raises OverflowError, and leaves it placed without an allocation: it never runs again in that term, and a cancellation of its job does not end.

Cause: the pause is 2.0**failures before it is limited to 60 s.

Change: backoff.doubled_pause_s limits the number of doublings. Pauses are as before.

--- a/src/crosscleat/core/control/retries.py
+++ b/src/crosscleat/core/control/retries.py
@@ -4,6 +4,7 @@
 
 from ..election.term import LeadingTerm
 from ..model import heartbeats
+from ..model.backoff import doubled_pause_s
 from ..model.ids import JobRef, Seconds
 from ..scheduling.job_selection import fails_repeatedly
 from ..state.jobs import Job
@@ -29,6 +30,10 @@
 DEFAULT_PAUSE_S = 2.0
 """Pause in seconds before a task is placed again that ended for any other cause."""
 
+FAILURE_PAUSE_BASE_S = 0.5
+"""Base of the backoff of a task that fails repeatedly, in seconds. The first pause is twice this
+value, and each further failure doubles it, up to `MAX_FAILURE_PAUSE_S`."""
+
 MAX_FAILURE_PAUSE_S = 60.0
 """Maximum pause in seconds of a task that fails repeatedly."""
 
@@ -75,7 +80,7 @@
             )
         if failures == 1 and job.has_completed_task:
             return 0.0
-        return min(MAX_FAILURE_PAUSE_S, 0.5 * 2.0**failures)
+        return doubled_pause_s(FAILURE_PAUSE_BASE_S, failures, MAX_FAILURE_PAUSE_S)
 
     def _is_faulty(self, machine: Machine) -> bool:
         """Whether several jobs failed on the machine; jobs that fail on any machine don't count."""
