Mend: a start lost after 13 hours of lost commands is still taken to arrive

The 1,024th direct command in a row that a machine does not answer raises OverflowError in its reply handler.

Cause: the pause is 2.0**failures before it is limited to 48 s, and is computed before the note is made.

Change: Commands uses backoff.doubled_pause_s too. Pauses are as before.

--- a/src/crosscleat/core/control/commands.py
+++ b/src/crosscleat/core/control/commands.py
@@ -11,6 +11,7 @@
 from typing import Protocol
 
 from ..election.term import LeadingTerm
+from ..model.backoff import doubled_pause_s
 from ..model.heartbeats import Heartbeat
 from ..model.ids import NO_TOKEN, AgentEpoch, Attempt, Seconds, TaskId, Token
 from ..model.worker_calls import (
@@ -189,8 +190,8 @@
                 return
             if reply.heartbeat is None:
                 direct.failures += 1
-                pause = min(MAX_DIRECT_PAUSE_S, DIRECT_PAUSE_BASE_S * 2.0**direct.failures)
-                direct.paused_until = Seconds(self._term.now + pause)
+                pause_s = doubled_pause_s(DIRECT_PAUSE_BASE_S, direct.failures, MAX_DIRECT_PAUSE_S)
+                direct.paused_until = Seconds(self._term.now + pause_s)
                 self._reply_handler.reply_missed(machine)
                 if reply.may_execute:
                     direct.pending_start_token = max(direct.pending_start_token, start_token)
