Mend: a very short budget period no longer makes the leader stand still

Cause: Budget.charge counts the periods that have passed one by one.

Change: the start of the present period is computed in one step with math.fmod.

--- a/src/crosscleat/core/capacity/budget.py
+++ b/src/crosscleat/core/capacity/budget.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import math
+
 from ..model.ids import Seconds
 
 
@@ -21,10 +23,11 @@
 
     def charge(self, rate_per_s: float, now: Seconds) -> None:
         """Add the cost of the rented machines since the last call; each period starts at 0."""
-        while now - self._period_start >= self._period_s:
-            self._period_start = Seconds(self._period_start + self._period_s)
+        if now - self._period_start >= self._period_s:
+            into_period_s = math.fmod(now - self._period_start, self._period_s)
+            self._period_start = Seconds(now - into_period_s)
             self.spent = 0.0
-            self._charged_until = max(self._charged_until, self._period_start)
+            self._charged_until = self._period_start
         self.spent += rate_per_s * (now - self._charged_until)
         self._charged_until = now
 
