--- a/src/crosscleat/adapters/cloud_client.py
+++ b/src/crosscleat/adapters/cloud_client.py
@@ -41,15 +41,19 @@
         return await self._endpoint.request(method, path, body, TIMEOUT_S)
 
     async def list_machine_types(self) -> list[MachineType] | None:
-        """The machine types with their current prices; None if they could not be read."""
+        """The machine types with their current prices; None if they could not be read.
+
+        Types with invalid amounts are left out.
+        """
         response = await self._request("GET", "/machine_types")
         if response is None or response.status != 200:
             return None
         try:
-            return wire.decode_machine_types(response.body)
+            machine_types = wire.decode_machine_types(response.body)
         except msgspec.DecodeError as error:
             log.error("cannot decode the machine types: %s", error)
             return None
+        return _without_invalid(machine_types)
 
     async def list_machines(self) -> list[ListedMachine] | None:
         """The complete machine list, read page by page; None if any page could not be read."""
@@ -95,3 +99,12 @@
             "POST", "/rentals/delete", wire.encode_deletion(call.machines)
         )
         return response is not None and response.status == 200
+
+
+def _without_invalid(machine_types: list[MachineType]) -> list[MachineType]:
+    """The types with valid amounts; a type that is known already keeps its last description."""
+    valid = [machine_type for machine_type in machine_types if machine_type.has_valid_amounts()]
+    if len(valid) < len(machine_types):
+        invalid = [machine_type for machine_type in machine_types if machine_type not in valid]
+        log.error("machine types with invalid amounts are left out: %s", invalid)
+    return valid
