Mend: a request rate at which nothing can be sent is rejected at the start

Cause: a controller's share of the rate, by which its rate limiter divides, is 0.

Change: both rates, present and next, must be at least 0.01 a second; a smaller one is named in the one-line error with exit status 2. All others are taken as before.

--- a/src/crosscleat/settings.py
+++ b/src/crosscleat/settings.py
@@ -19,6 +19,8 @@
 
 Positive = Annotated[float, Meta(gt=0.0, le=1e9)]
 Amount = Annotated[float, Meta(ge=0.0, le=1e9)]
+RequestRate = Annotated[float, Meta(ge=0.01, le=1e9)]
+"""Requests or writes per second; a leader could not renew its lease below the lower bound."""
 ValueLimit = Annotated[float, Meta(ge=1.5, le=1e6)]
 """Maximum size of a value in KiB. The record of a single job takes up to 1.3 KiB."""
 OperationLimit = Annotated[int, Meta(ge=4)]
@@ -77,8 +79,8 @@
 class NextLimits(msgspec.Struct):
     """Limits that the key-value store will switch to at some later time, without notice."""
 
-    rps: Positive | None = None
-    write_rps: Positive | None = None
+    rps: RequestRate | None = None
+    write_rps: RequestRate | None = None
     value_kb: ValueLimit | None = None
     txn_ops: OperationLimit | None = None
 
@@ -86,8 +88,8 @@
 class StateSettings(msgspec.Struct):
     """Limits of the key-value store: requests and writes per second, value and transaction size."""
 
-    rps: Positive
-    write_rps: Positive
+    rps: RequestRate
+    write_rps: RequestRate
     value_kb: ValueLimit
     txn_ops: OperationLimit
     next: NextLimits = msgspec.field(default_factory=NextLimits)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import copy
+import math
 import subprocess
 import sys
 from pathlib import Path
@@ -109,6 +110,29 @@
         assert "\n" not in str(caught.value)
 
 
+@pytest.mark.parametrize("rate", [5e-324, 1e-310, 1e-6, math.inf])
+@pytest.mark.parametrize("name", ["rps", "write_rps"])
+@pytest.mark.parametrize("upcoming", [False, True])
+def test_a_rate_at_which_nothing_could_be_sent_is_rejected(
+    name: str, rate: float, upcoming: bool
+) -> None:
+    """A controller's share of 5e-324 requests a second is 0: its rate limiter divided by it."""
+    raw = copy.deepcopy(VALID_SETTINGS)
+    state = raw["settings"]["state"]
+    (state.setdefault("next", {}) if upcoming else state)[name] = rate
+
+    with pytest.raises(SettingsError, match=name):
+        parse(raw, "file")
+
+
+@pytest.mark.parametrize("rate", [0.01, 0.5, 1e6])
+def test_a_low_or_high_rate_is_taken(rate: float) -> None:
+    raw = copy.deepcopy(VALID_SETTINGS)
+    raw["settings"]["state"].update(rps=rate, write_rps=rate)
+
+    assert parse(raw, "file").settings.state.strictest().write_rps == rate
+
+
 def test_a_lease_longer_than_the_cancellation_time_is_rejected() -> None:
     raw = copy.deepcopy(VALID_SETTINGS)
     raw["settings"]["workers"]["lease_s"] = 50.0
