Mend: a report with a task number of thousands of digits is answered

A report that lists a task number of over 4,300 digits got no answer; in a reply to a direct command it left that command in flight to the end of the term.

Cause: int() raises ValueError for so many digits, outside the part of parse_heartbeat that expects it.

Change: TaskId.parse takes at most 20 digits; the entry is left out like others that can't be parsed.

Measured: three new cases in test_formats.py failed before, all pass now; 2**64 - 1 is still read.

--- a/src/crosscleat/core/model/ids.py
+++ b/src/crosscleat/core/model/ids.py
@@ -50,6 +50,9 @@
 WallTime = NewType("WallTime", float)
 """A point in time on the wall clock, in seconds since 1970."""
 
+MAX_TASK_DIGITS = 20
+"""Digits of the largest count of the protocols; `int` raises for thousands of them."""
+
 _JOB_REF = re.compile(r"job-[0-9A-Za-z._-]{1,120}\Z")
 
 
@@ -66,7 +69,8 @@
     def parse(cls, text: str) -> TaskId | None:
         """Parse the text form, such as `job-000412/3`; returns None if it is malformed."""
         job, slash, number = text.rpartition("/")
-        if not slash or not number.isascii() or not number.isdigit() or not is_job_ref(job):
+        is_number = number.isascii() and number.isdigit() and len(number) <= MAX_TASK_DIGITS
+        if not slash or not is_number or not is_job_ref(job):
             return None
         return cls(JobRef(job), int(number))
 
--- a/tests/test_formats.py
+++ b/tests/test_formats.py
@@ -155,6 +155,28 @@
     assert TaskId.parse(str(task)) == task
 
 
+@pytest.mark.parametrize("number", ["1" * 4301, "0" * 60_000, "1" * 21])
+def test_a_heartbeat_is_read_without_a_task_whose_number_is_too_long(number: str) -> None:
+    """`int` raises for thousands of digits.
+
+    The worker's report got no answer, and its reply to a direct command was never handled: no
+    further direct command was sent to it.
+    """
+    body = {
+        "box": "m-1", "addr": "10.1.0.1:9000", "rig": "r", "yard": "a", "loaners": True,
+        "shift": 2, "tally": 3, "baton": 7,
+        "picks": [
+            {"pick": f"job-1/{number}", "try": 1, "status": "running"},
+            {"pick": f"job-1/{2**64 - 1}", "try": 1, "status": "running"},
+        ],
+    }  # fmt: skip
+
+    heartbeat = workers.parse_heartbeat(pack(body))
+
+    assert heartbeat is not None
+    assert [task.task.number for task in heartbeat.tasks] == [2**64 - 1]
+
+
 @given(
     st.lists(
         st.tuples(refs, st.integers(0, 99), st.integers(1, 9), st.sampled_from(("running", "new"))),
