--- a/src/crosscleat/core/scheduling/scoring.py
+++ b/src/crosscleat/core/scheduling/scoring.py
@@ -5,7 +5,7 @@
 import math
 from collections import deque
 
-from ..model.cloud import MachineType
+from ..model.cloud import HOUR_S, MachineType
 from ..model.deployment import Deployment
 from ..model.ids import Seconds
 from ..model.job_spec import JobSpec, Priority
@@ -160,7 +160,7 @@
 
     def cost(self, job: Job, machine_type: MachineType, spot: bool, fetch_s: float) -> float:
         """The price of one task on such a machine, from the image fetch to the task's end."""
-        rate = machine_type.price_for(spot) / 3600.0
+        rate = machine_type.price_for(spot) / HOUR_S
         return (self.remaining_s(job) + fetch_s) * rate * self.machine_share(job.spec, machine_type)
 
 
