--- a/tests/gangs.py
+++ b/tests/gangs.py
@@ -21,7 +21,7 @@
 )
 from crosscleat.core.model.job_spec import Shape
 from crosscleat.core.model.store_calls import Item
-from crosscleat.core.model.worker_calls import StartOrder
+from crosscleat.core.model.worker_calls import DirectCommand, StartOrder
 from crosscleat.core.state.job_records import live_record
 from crosscleat.core.state.jobs import Job
 from crosscleat.core.state.machine import Machine
@@ -102,6 +102,17 @@
     return TaskStatus(TaskId(JobRef("job-g"), number), Attempt(attempt), state, cause)
 
 
+def send_direct_start(term: Term, gang: Job, machine: Machine) -> DirectCommand:
+    """Place the two tasks of the gang on the machine and send their start as a direct command."""
+    term.leader.placer.place_gang(gang, [machine, machine])
+    record_all(gang, machine)
+    term.outbox.take()
+    term.leader.pending.send_soon(machine.id)
+    term.leader.commands.send_direct(term.now)
+    (start,) = [effect for effect in term.outbox.take() if isinstance(effect, DirectCommand)]
+    return start
+
+
 def gang_on_two_machines(tasks: int = 2) -> tuple[Term, Job]:
     """A gang with its first task on m-0 and the others on m-1, all recorded and waiting."""
     term = gang_term(tasks)
--- a/tests/test_direct_commands.py
+++ b/tests/test_direct_commands.py
@@ -4,9 +4,9 @@
 
 from crosscleat.core.control.commands import MAX_DIRECT_PAUSE_S
 from crosscleat.core.model.ids import JobRef, MachineId
-from crosscleat.core.model.worker_calls import DirectCommand, DirectReply
+from crosscleat.core.model.worker_calls import DirectReply
 
-from .gangs import gang_term, record_all
+from .gangs import gang_term, send_direct_start
 from .term import TOKEN
 
 
@@ -19,12 +19,7 @@
     gang = term.leader.jobs[JobRef("job-g")]
     machine = term.leader.cluster.machines[MachineId("m-0")]
     machine.direct.failures = 1023
-    term.leader.placer.place_gang(gang, [machine, machine])
-    record_all(gang, machine)
-    term.outbox.take()
-    term.leader.pending.send_soon(machine.id)
-    term.leader.commands.send_direct(term.now)
-    (start,) = [effect for effect in term.outbox.take() if isinstance(effect, DirectCommand)]
+    start = send_direct_start(term, gang, machine)
 
     start.continuation(DirectReply(None, may_execute=True))
 
--- a/tests/test_extreme_amounts.py
+++ b/tests/test_extreme_amounts.py
@@ -32,7 +32,7 @@
 from .samples_394dfe6 import LIVE_394DFE6
 from .term import Term
 from .test_smoke import SUBMISSION
-from .world import TEAMS, World, job
+from .world import TEAMS, job, quiet_world
 
 SMALLEST = 5e-324
 """The smallest positive number of the type that a submission carries."""
@@ -107,9 +107,7 @@
     amount: float, resource: str, shape: Shape
 ) -> None:
     """The leader ended with an OverflowError as soon as it decided what to rent for the job."""
-    world = World(1)
-    world.boot_failure_chance = 0.0
-    world.clock.advance(4.0)
+    world = quiet_world(1)
     world.users.submit(job("job-odd", **{resource: amount, "shape": shape}))
     world.users.submit(job("job-ordinary", team=Team("blue")))
 
@@ -148,9 +146,7 @@
 
 def test_a_gang_that_saves_all_the_time_and_loses_a_machine_is_placed_again() -> None:
     """Its leader ended with an OverflowError when it counted the gang's checkpoints."""
-    world = World(1)
-    world.boot_failure_chance = 0.0
-    world.clock.advance(4.0)
+    world = quiet_world(1)
     world.users.submit(job("job-gang", shape=Shape.GANG, estimate_s=20.0, checkpoint_s=SMALLEST))
     world.clock.advance(14.0)
 
--- a/tests/test_gang_attempts.py
+++ b/tests/test_gang_attempts.py
@@ -11,10 +11,17 @@
 from crosscleat.core.model.effects import Response
 from crosscleat.core.model.ids import JobRef, MachineId, Seconds, Team, Token, Version
 from crosscleat.core.model.job_spec import Shape
-from crosscleat.core.model.worker_calls import DirectCommand, DirectReply, StartOrder, StopOrder
+from crosscleat.core.model.worker_calls import DirectReply, StartOrder, StopOrder
 from crosscleat.core.state.jobs import Job
 
-from .gangs import gang_term, new_leader_with_gang, record_all, start_orders, task_status
+from .gangs import (
+    gang_term,
+    new_leader_with_gang,
+    record_all,
+    send_direct_start,
+    start_orders,
+    task_status,
+)
 from .planning import make_job, make_machine, plan_cycle
 from .term import TOKEN
 from .world import job
@@ -100,12 +107,7 @@
     term = gang_term()
     gang = term.leader.jobs[JobRef("job-g")]
     machine = next(iter(term.leader.cluster.machines.values()))
-    term.leader.placer.place_gang(gang, [machine, machine])
-    record_all(gang, machine)
-    term.outbox.take()
-    term.leader.pending.send_soon(machine.id)
-    term.leader.commands.send_direct(term.now)
-    (start,) = [effect for effect in term.outbox.take() if isinstance(effect, DirectCommand)]
+    start = send_direct_start(term, gang, machine)
     assert len(start.orders) == 2
 
     start.continuation(DirectReply(None, True))
--- a/tests/test_zone_bound_days.py
+++ b/tests/test_zone_bound_days.py
@@ -16,15 +16,7 @@
 from crosscleat.core.model.ids import Zone
 from crosscleat.core.model.job_spec import Shape
 
-from .world import ZONES, World, job
-
-
-def quiet_world(seed: int) -> World:
-    """A world in which all machines boot and none is faulty."""
-    world = World(seed)
-    world.boot_failure_chance = 0.0
-    world.clock.advance(4.0)
-    return world
+from .world import ZONES, job, quiet_world
 
 
 @pytest.mark.parametrize("tasks", [2, 4, 5, 6])
--- a/tests/world/__init__.py
+++ b/tests/world/__init__.py
@@ -54,7 +54,7 @@
     deployment,
     job,
 )
-from .world import World, leader_of, running, world_with_long_job
+from .world import World, leader_of, quiet_world, running, world_with_long_job
 
 __all__ = [
     "CANCEL_S",
@@ -76,6 +76,7 @@
     "deployment",
     "job",
     "leader_of",
+    "quiet_world",
     "running",
     "world_with_long_job",
 ]
--- a/tests/world/world.py
+++ b/tests/world/world.py
@@ -257,6 +257,14 @@
                 assert ref in self.final_statuses, f"{ref} never ends"
 
 
+def quiet_world(seed: int) -> World:
+    """A world in which all machines boot and none is faulty."""
+    world = World(seed)
+    world.boot_failure_chance = 0.0
+    world.clock.advance(4.0)
+    return world
+
+
 def world_with_long_job(estimate_s: float, elapsed_s: float, seed: int = 3) -> World:
     """A world whose machines have run "job-long" for a while, and none of them is faulty."""
     world = World(seed)
