--- a/tests/test_extreme_amounts.py
+++ b/tests/test_extreme_amounts.py
@@ -9,7 +9,9 @@
 from __future__ import annotations
 
 import copy
+import math
 import sys
+from random import Random
 from typing import Any
 
 import msgspec
@@ -23,16 +25,20 @@
 from crosscleat.core.model.store_calls import Item
 from crosscleat.core.scheduling.free_capacity import FreeCapacity, count_fitting
 from crosscleat.core.scheduling.quota import tasks_within_limit, tasks_within_limits
+from crosscleat.core.scheduling.shard_planning import plan_shard
 from crosscleat.core.state.job_records import spec_of
 from crosscleat.core.state.keys import live_key
 from crosscleat.core.state.machine import UNKNOWN_TYPE
+from crosscleat.wire import peers
 from crosscleat.wire.users import parse_submission
 
-from .planning import make_machine
-from .samples_394dfe6 import LIVE_394DFE6
+from .planning import NOW, make_machine
+from .samples_394dfe6 import LIVE_394DFE6, PART_394DFE6
 from .term import Term
 from .test_smoke import SUBMISSION
-from .world import TEAMS, job, quiet_world
+from .world import TEAMS, TYPES, deployment, job, quiet_world
+
+replace = msgspec.structs.replace
 
 SMALLEST = 5e-324
 """The smallest positive number of the type that a submission carries."""
@@ -144,6 +150,20 @@
     assert [rental.type for rental in rentals] == ["small"]
 
 
+@pytest.mark.parametrize("amount", TINY_AMOUNTS)
+def test_a_shard_with_a_tiny_amount_that_an_older_leader_sent_is_planned(amount: float) -> None:
+    request = peers.decode_message(bytes.fromhex(PART_394DFE6)[peers.LENGTH_BYTES :])
+    assert isinstance(request, peers.ShardRequest)
+    (odd,) = request.view.jobs
+    odd = replace(odd, spec=replace(odd.spec, cpus=amount, estimate_s=amount))
+    view = replace(request.view, jobs=(odd,), estimate_factors={"plain": math.inf})
+    types = {machine_type.name: machine_type for machine_type in TYPES}
+
+    proposal = plan_shard(view, deployment("c0"), types, Random(1), NOW)
+
+    assert {machine for _, machine in proposal.assignments} == {view.machines[0].machine}
+
+
 def test_a_gang_that_saves_all_the_time_and_loses_a_machine_is_placed_again() -> None:
     """Its leader ended with an OverflowError when it counted the gang's checkpoints."""
     world = quiet_world(1)
