--- a/src/crosscleat/adapters/http_server.py
+++ b/src/crosscleat/adapters/http_server.py
@@ -18,6 +18,8 @@
 from .deadline import Deadline
 
 BODY_TIMEOUT_S = 5.0
+MAX_BACKLOG = 65_535
+"""Most connections that wait to be accepted; Linux keeps fewer, and `listen` takes 32 bits."""
 JOBS_PATH = "/work"
 JOB_PREFIX = "/work/"
 CANCEL_SUFFIX = "/abort"
@@ -85,9 +87,8 @@
         """Listen for users and workers; the caller closes the listener."""
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
-        return await loop.create_server(
-            self._accept, host, int(port), backlog=self._max_connections
-        )
+        backlog = min(self._max_connections, MAX_BACKLOG)
+        return await loop.create_server(self._accept, host, int(port), backlog=backlog)
 
     def _accept(self) -> Connection:
         if len(self._open_connections) >= self._max_connections:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -13,6 +13,7 @@
 
 import aiohttp
 import msgspec
+import pytest
 
 from crosscleat.adapters.http_server import HttpServer
 from crosscleat.core.model.effects import Response
@@ -55,6 +56,19 @@
         return response.status, response.headers.get("Retry-After")
 
 
+@pytest.mark.parametrize("max_connections", [2**31 - 1, 2**31, 2**64])
+def test_a_server_starts_without_a_practical_limit_of_connections(max_connections: int) -> None:
+    """A limit of 2**31 sockets and more ended the process at its start with an OverflowError."""
+
+    async def run() -> None:
+        service = RecordingService(max_connections)
+        async with await service.server.start(service.address):
+            status, _ = await call(service, "GET", "/ready")
+            assert status == 200
+
+    asyncio.run(run())
+
+
 def test_requests_reach_the_controller_or_are_refused() -> None:
     async def run() -> None:
         service = RecordingService(50)
