--- a/review/standins2/platform2.py
+++ b/review/standins2/platform2.py
@@ -363,6 +363,8 @@
         if task.on_machine:
             self.cloud.left_machine(self, task)
         task.status = "gone"
+        if task.job and task.job["shape"] == "ensemble":
+            self.cloud.gang_changed(self, task)
 
     async def _report_forever(self) -> None:
         node = random.randrange(3)
@@ -492,7 +494,7 @@
         task.status, task.cause, task.saved = "exited", cause, saved
         self.wake.set()
         if task.job and task.job["shape"] == "ensemble":
-            self.cloud.gang_changed(task)
+            self.cloud.gang_changed(self, task)
 
     def _start(self, pick: str, attempt: int) -> None:
         ref, _, number = pick.rpartition("/")
@@ -526,7 +528,7 @@
             task.status = "waiting"
             self.cloud.entered_machine(self, task)
             self._later(task, self.cloud.gang_wait_s, lambda: self._gave_up(task))
-            self.cloud.gang_changed(task)
+            self.cloud.gang_changed(self, task)
             return
         task.status = "running"
         self.cloud.entered_machine(self, task)
@@ -595,6 +597,10 @@
         self.cancel_told: dict[str, float] = {}
         self.on_report: Callable[[Worker, int, bytes, int], None] | None = None
         self.on_machine: dict[str, dict[str, Task]] = {}
+        self.used_cores: Counter[str] = Counter()
+        self.job_zones: dict[str, Counter[str]] = {}
+        self.gangs: dict[tuple[str, int], dict[str, tuple[Worker, Task]]] = {}
+        """The tasks of each gang's attempt that wait for the others."""
         self.starts: Counter[str] = Counter()
         self._background: set[asyncio.Task[None]] = set()
         self._lists: list[tuple[float, list[Json]]] = []
@@ -621,33 +627,25 @@
         self.starts[task.pick] += 1
         self.record.write(f"{worker.name}: {task.pick} try {task.attempt} starts")
         job = task.job
-        used = sum(
-            t.job["cores"]
-            for tasks in self.on_machine.values()
-            for t in tasks.values()
-            if t.job["crew"] == job["crew"]
-        )
-        limit = self.team_limits.get(job["crew"], 0.0)
+        self.used_cores[job["crew"]] += job["cores"]
+        self.job_zones.setdefault(ref, Counter())[worker.zone] += 1
+        used, limit = self.used_cores[job["crew"]], self.team_limits.get(job["crew"], 0.0)
         if limit and used > limit + 1e-6:
             self.record.broken("quota", f"{job['crew']} uses {used} of {limit}")
         if (worker.spot and not job["loaners"]) or job.get("yard") not in (None, worker.zone):
             self.record.broken("wrong_place", f"{task.pick} starts on {worker.name}")
-        if job["together"]:
-            zones = {
-                self.workers[name].zone
-                for pick, tasks in self.on_machine.items()
-                if pick.rpartition("/")[0] == ref
-                for name in tasks
-            }
-            if len(zones) > 1:
-                self.record.broken("wrong_place", f"{ref} is in zones {zones}")
+        zones = [zone for zone, count in self.job_zones[ref].items() if count > 0]
+        if job["together"] and len(zones) > 1:
+            self.record.broken("wrong_place", f"{ref} is in zones {zones}")
         told = self.cancel_told.get(ref)
         if told is not None and now() - told > self.cancel_s:
             self.record.broken("ran_cancelled", f"{task.pick} starts on {worker.name}")
 
     def left_machine(self, worker: Worker, task: Task) -> None:
         """Note that a task is no longer on its machine."""
-        self.on_machine.get(task.pick, {}).pop(worker.name, None)
+        if self.on_machine.get(task.pick, {}).pop(worker.name, None) is not None:
+            self.used_cores[task.job["crew"]] -= task.job["cores"]
+            self.job_zones[task.pick.rpartition("/")[0]][worker.zone] -= 1
         self.record.write(f"{worker.name}: {task.pick} try {task.attempt} left, {task.status}")
 
     def check_cancelled(self) -> None:
@@ -659,25 +657,20 @@
 
     # Gangs
 
-    def gang_changed(self, changed: Task) -> None:
+    def gang_changed(self, worker: Worker, changed: Task) -> None:
         """A task of a gang has its image, or has ended."""
-        ref = changed.pick.rpartition("/")[0]
-        members = [
-            (worker, task)
-            for worker in self.workers.values()
-            for task in worker.tasks.values()
-            if task.pick.rpartition("/")[0] == ref and task.attempt == changed.attempt
-        ]
-        waiting = {task.pick for _, task in members if task.status == "waiting"}
-        if changed.status == "waiting" and len(waiting) == changed.job["picks"]:
-            gang = [(worker, task) for worker, task in members if task.status == "waiting"]
-            for worker, task in gang:
-                worker.begin_gang(task)
+        waiting = self.gangs.setdefault((changed.pick.rpartition("/")[0], changed.attempt), {})
+        if changed.status != "waiting":
+            if waiting.get(changed.pick, (worker, None))[1] is changed:
+                del waiting[changed.pick]
+            return
+        waiting[changed.pick] = worker, changed
+        if len(waiting) == changed.job["picks"]:
+            gang = list(waiting.values())
+            waiting.clear()
+            for mate_worker, mate in gang:
+                mate_worker.begin_gang(mate)
             self.background(self._run_gang(gang))
-        elif changed.status == "exited" and changed.cause not in ("done", "mates_gone"):
-            for worker, task in members:
-                if task.status in ("running", "flushing"):
-                    worker.lose_mate(task)
 
     async def _run_gang(self, gang: list[tuple[Worker, Task]]) -> None:
         """Complete the gang together, or end it if a task or its machine is gone or hangs."""
