--- a/review/standins2/platform2.py
+++ b/review/standins2/platform2.py
@@ -306,7 +306,8 @@
         self.cloud, self.name, self.rig, self.zone, self.spot = cloud, name, rig, zone, spot
         self.rented_at = now()
         self.address = ""
-        self.up = self.gone = False
+        self.up = self.gone = self.deleted = False
+        self.died_at = 0.0
         self.shift, self.tally, self.token = 1, 0, 0
         self.tasks: dict[tuple[str, int], Task] = {}
         self.images: dict[str, float] = {}
@@ -562,9 +563,15 @@
             self.cloud.results.add(task.pick)
             self._exit(task, "done")
 
+    def listed_status(self) -> str:
+        """Its status in the machine list; a machine that died is shown as running for 30 s."""
+        if self.gone:
+            return "running" if now() - self.died_at < 30.0 else "failed"
+        return "running" if self.up else "starting"
+
     def end(self) -> None:
         """The machine stops with all that is on it."""
-        self.gone, self.up = True, False
+        self.gone, self.up, self.died_at = True, False, now()
         for task in self.tasks.values():
             self._drop(task)
         self.tasks.clear()
@@ -710,9 +717,11 @@
             return self._rent(data)
         for name in data["boxes"]:
             worker = self.workers.get(name)
-            if worker is not None and not worker.gone:
+            if worker is not None and not worker.deleted:
                 self.record.write(f"cloud: {name} deleted")
-                worker.end()
+                worker.deleted = True
+                if not worker.gone:
+                    worker.end()
         return reply({})
 
     def _rent(self, data: Json) -> web.Response:
@@ -737,10 +746,10 @@
         while True:
             entries = [
                 {"ref": w.name, "addr": w.address, "rig": w.rig["sku"], "yard": w.zone,
-                 "loaners": w.spot, "status": "running" if w.up else "starting",
+                 "loaners": w.spot, "status": w.listed_status(),
                  "age_s": now() - w.rented_at}
                 for w in sorted(self.workers.values(), key=lambda w: w.name)
-                if not w.gone
+                if not w.deleted
             ]  # fmt: skip
             self._lists.append((now(), entries))
             self._lists = self._lists[-40:]
